--- /dev/null
+++ b/src/main/java/org/mulleinshift/Main.java
@@ -0,0 +1,127 @@
+package org.mulleinshift;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicReference;
+import org.mulleinshift.coordination.Controller;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.settings.PlatformSettingsReader;
+import org.mulleinshift.settings.SettingsException;
+import org.mulleinshift.settings.Tunables;
+import org.mulleinshift.settings.TunablesReader;
+import org.mulleinshift.transport.HttpFrontend;
+import org.mulleinshift.transport.JdkHttpCaller;
+import org.mulleinshift.transport.TcpPeerLink;
+import org.mulleinshift.transport.ThreadEventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line. */
+@Command(
+    name = "mulleinshift",
+    description = "Runs one controller of a mulleinshift cluster.",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class,
+    sortOptions = false)
+public final class Main implements Callable<Integer> {
+  private static final int BAD_SETTINGS = 2;
+
+  @Option(
+      names = "--config",
+      required = true,
+      paramLabel = "FILE",
+      description = "The platform's settings (TOML).")
+  private Path config;
+
+  @Option(
+      names = "--tunables",
+      paramLabel = "FILE",
+      description = "The operators' own settings (YAML); see docs/operations.md.")
+  private Path tunablesFile;
+
+  @Option(names = "--check", description = "Check the settings files and end.")
+  private boolean check;
+
+  @Option(
+      names = "--rehearse",
+      hidden = true,
+      description = "Load what a start needs and end; used to build the class archive.")
+  private boolean rehearse;
+
+  public static void main(String[] args) {
+    int code = new CommandLine(new Main()).execute(args);
+    if (code != 0) {
+      System.exit(code);
+    }
+  }
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    PlatformSettings settings;
+    Tunables tunables;
+    try {
+      settings = PlatformSettingsReader.read(config);
+      tunables = tunablesFile == null ? Tunables.standard() : TunablesReader.read(tunablesFile);
+    } catch (SettingsException e) {
+      System.err.println(e.getMessage());
+      return BAD_SETTINGS;
+    }
+    if (check) {
+      System.out.println("settings are in order");
+      return 0;
+    }
+    HttpFrontend.configure(settings.limits().sockets());
+    run(settings, tunables);
+    return 0;
+  }
+
+  private void run(PlatformSettings settings, Tunables tunables)
+      throws IOException, InterruptedException {
+    Logger log = LoggerFactory.getLogger(Main.class);
+    ThreadEventLoop loop = new ThreadEventLoop();
+    Map<String, InetSocketAddress> peers = new HashMap<>();
+    settings.members().forEach(member -> peers.put(member.label(), member.address()));
+    AtomicReference<Controller> target = new AtomicReference<>();
+    TcpPeerLink link = new TcpPeerLink(loop, peers, frame -> target.get().onFrame(frame));
+    Controller controller =
+        new Controller(
+            settings,
+            tunables,
+            new Controller.Outside(
+                loop,
+                new JdkHttpCaller("state", loop, 6, 512),
+                new JdkHttpCaller("watch", loop, 2, 8),
+                new JdkHttpCaller("cloud", loop, 2, 32),
+                new JdkHttpCaller("worker", loop, 8, 256),
+                link));
+    target.set(controller);
+    HttpFrontend frontend =
+        new HttpFrontend(
+            loop, controller, settings.publicAddress(), tunables.count(Tunables.Key.HTTP_THREADS));
+    link.start(settings.peerBind());
+    frontend.start();
+    loop.post(controller::start);
+    log.info("{} serves {}", settings.label(), settings.publicAddress());
+    if (rehearse) {
+      Rehearsal.run(loop, settings, log);
+      return;
+    }
+    loop.run();
+  }
+
+  /** Tells the version that the build put into the jar. */
+  public static final class Version implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"mulleinshift " + (version == null ? "(not packaged)" : version)};
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/Delegation.java
@@ -0,0 +1,135 @@
+package org.mulleinshift.bookkeeping;
+
+import java.util.Optional;
+import org.mulleinshift.protocol.Attempt;
+import org.mulleinshift.protocol.BlockId;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.TaskId;
+import org.mulleinshift.protocol.ZoneId;
+import org.mulleinshift.transport.SteadyTime;
+
+/**
+ * One try of one task, entrusted to a block. It counts against its team from the moment it is
+ * decided until its end is stored.
+ */
+public final class Delegation {
+  /** Steps of a delegation. */
+  public enum State {
+    /** Decided, not stored; the holder must not hear of it yet. */
+    WRITING,
+    /** Stored; the holder may place it. */
+    LIVE,
+    /** The holder named its machine. */
+    PLACED,
+    /** It runs. */
+    RUNNING,
+    /** It is over at the holder; the end is not stored yet. */
+    ENDED
+  }
+
+  private final TaskId task;
+  private final BlockId block;
+  private final ZoneId zone;
+  private final Attempt attempt;
+  private State state;
+  private Optional<MachineId> machine = Optional.empty();
+  private Optional<SteadyTime> runningSince = Optional.empty();
+  private boolean stop;
+  private Revision storedAt = new Revision(0);
+
+  Delegation(TaskId task, BlockId block, ZoneId zone, Attempt attempt, State state) {
+    this.task = task;
+    this.block = block;
+    this.zone = zone;
+    this.attempt = attempt;
+    this.state = state;
+  }
+
+  /** The only place where the state changes; an ended delegation stays ended. */
+  private void moveTo(State next) {
+    if (state != State.ENDED) {
+      state = next;
+    }
+  }
+
+  void stored(Revision revision) {
+    if (state == State.WRITING) {
+      storedAt = revision;
+      moveTo(State.LIVE);
+    }
+  }
+
+  public void placed(MachineId where) {
+    machine = Optional.of(where);
+    if (state == State.LIVE) {
+      moveTo(State.PLACED);
+    }
+  }
+
+  public void running(MachineId where, SteadyTime since) {
+    machine = Optional.of(where);
+    if (runningSince.isEmpty()) {
+      runningSince = Optional.of(since);
+    }
+    moveTo(State.RUNNING);
+  }
+
+  void ended() {
+    moveTo(State.ENDED);
+  }
+
+  /** A new holder found nothing yet: the place is unknown again. */
+  public void unplaced() {
+    machine = Optional.empty();
+    if (state == State.PLACED || state == State.RUNNING) {
+      moveTo(State.LIVE);
+    }
+  }
+
+  public void requestStop() {
+    stop = true;
+  }
+
+  public TaskId task() {
+    return task;
+  }
+
+  public BlockId block() {
+    return block;
+  }
+
+  public ZoneId zone() {
+    return zone;
+  }
+
+  public Attempt attempt() {
+    return attempt;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  public Optional<MachineId> machine() {
+    return machine;
+  }
+
+  public Optional<SteadyTime> runningSince() {
+    return runningSince;
+  }
+
+  public boolean stopRequested() {
+    return stop;
+  }
+
+  /** When this was stored; 0 if an earlier leader did it. */
+  public Revision storedAt() {
+    return storedAt;
+  }
+
+  /** Known to the holder, or about to be. */
+  public boolean told() {
+    return state != State.WRITING;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -0,0 +1,306 @@
+package org.mulleinshift.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.mulleinshift.protocol.Attempt;
+import org.mulleinshift.protocol.BlockId;
+import org.mulleinshift.protocol.JobKind;
+import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.protocol.JobSpec;
+import org.mulleinshift.protocol.Json;
+import org.mulleinshift.protocol.Resources;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.TaskId;
+import org.mulleinshift.protocol.ZoneId;
+import org.mulleinshift.transport.SteadyTime;
+
+/** An accepted job in the leader's memory: which tasks are done, delegated, waiting. */
+public final class Job {
+  /** States of a job. */
+  public enum State {
+    /** Tasks may be delegated. */
+    ACTIVE,
+    /** Cancelled: no task may start, all must go. */
+    CANCELLING,
+    /** All tasks are done or gone; the end is being stored. */
+    ENDING,
+    /** The end is stored. */
+    ENDED
+  }
+
+  /** Tasks whose progress shares a key; keeps values far below the store's limit. */
+  public static final int CHUNK = 500;
+
+  private final JobSpec spec;
+  private final long acceptedMillis;
+  private Revision version;
+  private State state;
+  private final BitSet done = new BitSet();
+  private final BitSet delegated = new BitSet();
+  private final Map<Integer, Delegation> delegations = new TreeMap<>();
+  private final Map<Integer, SteadyTime> pausedUntil = new HashMap<>();
+  private final Map<ZoneId, Integer> perZone = new HashMap<>();
+  private int failures;
+  private double runSecondsTotal;
+  private int runCount;
+  private boolean cancelledWhileEnding;
+
+  public Job(JobRecord record) {
+    this.spec = record.spec();
+    this.acceptedMillis = record.acceptedMillis();
+    this.version = record.version();
+    this.state = record.cancelled() ? State.CANCELLING : State.ACTIVE;
+  }
+
+  /** The only place where a job's state changes. */
+  private void moveTo(State next) {
+    if (next.ordinal() < state.ordinal()) {
+      throw new IllegalStateException(spec.id() + ": " + state + " to " + next);
+    }
+    state = next;
+  }
+
+  /** Takes over what the store says of the job, cancellations above all. */
+  public void update(JobRecord record) {
+    version = record.version();
+    if (record.cancelled() && state == State.ACTIVE) {
+      moveTo(State.CANCELLING);
+    }
+    if (record.cancelled() && state == State.ENDING && done.cardinality() == spec.tasks()) {
+      // The cancellation won against our unstored end: it is what the user was told.
+      cancelledWhileEnding = true;
+    }
+  }
+
+  /** Reads one chunk of stored progress. */
+  public void load(int chunk, JsonNode value, java.util.function.Function<BlockId, ZoneId> zones) {
+    int base = chunk * CHUNK;
+    TaskRanges.read(value.path("done").asText()).stream().forEach(index -> done.set(base + index));
+    for (JsonNode item : value.path("at")) {
+      BlockId block = new BlockId(item.path("b").asText());
+      Attempt attempt = new Attempt(item.path("n").asLong());
+      TaskRanges.read(item.path("r").asText()).stream()
+          .forEach(
+              index ->
+                  add(
+                      new Delegation(
+                          new TaskId(spec.id(), base + index),
+                          block,
+                          zones.apply(block),
+                          attempt,
+                          Delegation.State.LIVE)));
+    }
+  }
+
+  /** The stored form of a chunk. */
+  public JsonNode progress(int chunk) {
+    int base = chunk * CHUNK;
+    ObjectNode node = Json.object();
+    node.put("done", TaskRanges.write(part(done, base)));
+    Map<String, BitSet> groups = new LinkedHashMap<>();
+    for (Delegation delegation : delegations.values()) {
+      int index = delegation.task().index() - base;
+      if (index >= 0 && index < CHUNK && delegation.state() != Delegation.State.ENDED) {
+        groups
+            .computeIfAbsent(delegation.attempt() + " " + delegation.block(), key -> new BitSet())
+            .set(index);
+      }
+    }
+    ArrayNode at = node.putArray("at");
+    groups.forEach(
+        (key, set) -> {
+          int space = key.indexOf(' ');
+          ObjectNode item = at.addObject();
+          item.put("b", key.substring(space + 1));
+          item.put("n", Long.parseLong(key.substring(0, space)));
+          item.put("r", TaskRanges.write(set));
+        });
+    return node;
+  }
+
+  private static BitSet part(BitSet set, int base) {
+    return set.get(base, base + CHUNK);
+  }
+
+  public static int chunkOf(int index) {
+    return index / CHUNK;
+  }
+
+  public int chunks() {
+    return (spec.tasks() + CHUNK - 1) / CHUNK;
+  }
+
+  public Delegation delegate(int index, BlockId block, ZoneId zone, Attempt attempt) {
+    Delegation delegation =
+        new Delegation(
+            new TaskId(spec.id(), index), block, zone, attempt, Delegation.State.WRITING);
+    add(delegation);
+    pausedUntil.remove(index);
+    return delegation;
+  }
+
+  private void add(Delegation delegation) {
+    if (delegations.put(delegation.task().index(), delegation) == null) {
+      delegated.set(delegation.task().index());
+      perZone.merge(delegation.zone(), 1, Integer::sum);
+    }
+  }
+
+  public void taskDone(Delegation delegation, double runSeconds) {
+    delegation.ended();
+    done.set(delegation.task().index());
+    if (runSeconds > 0) {
+      runSecondsTotal += runSeconds;
+      runCount++;
+    }
+  }
+
+  /** The task is provably nowhere; it may be tried again after the pause. */
+  public void taskReturned(Delegation delegation, Optional<SteadyTime> notBefore) {
+    delegation.ended();
+    notBefore.ifPresent(time -> pausedUntil.put(delegation.task().index(), time));
+  }
+
+  public void countFailure() {
+    failures++;
+  }
+
+  /** What was decided for the chunk is stored: the new may be told, the ended forgotten. */
+  public void stored(
+      Collection<Delegation> written, Collection<Delegation> ended, Revision revision) {
+    written.forEach(delegation -> delegation.stored(revision));
+    for (Delegation delegation : ended) {
+      int index = delegation.task().index();
+      if (delegations.remove(index, delegation)) {
+        delegated.clear(index);
+        perZone.merge(delegation.zone(), -1, (a, b) -> a + b == 0 ? null : a + b);
+      }
+    }
+  }
+
+  public void beginEnd() {
+    moveTo(State.ENDING);
+  }
+
+  public void finishEnd() {
+    moveTo(State.ENDED);
+    delegations.clear();
+    delegated.clear();
+    perZone.clear();
+  }
+
+  public boolean complete() {
+    return spec.kind() == JobKind.ARRAY && done.cardinality() == spec.tasks();
+  }
+
+  /** Cancelled, and provably no task of it is anywhere. */
+  public boolean gone() {
+    return state == State.CANCELLING
+        && delegations.values().stream().allMatch(d -> d.state() == Delegation.State.ENDED);
+  }
+
+  public JobPhase endPhase() {
+    return complete() && !cancelledWhileEnding && !isCancelled()
+        ? JobPhase.DONE
+        : JobPhase.CANCELLED;
+  }
+
+  private boolean isCancelled() {
+    return state == State.CANCELLING;
+  }
+
+  public JobSpec spec() {
+    return spec;
+  }
+
+  public long acceptedMillis() {
+    return acceptedMillis;
+  }
+
+  public Revision version() {
+    return version;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  public int failures() {
+    return failures;
+  }
+
+  public Collection<Delegation> delegations() {
+    return delegations.values();
+  }
+
+  public Optional<Delegation> delegation(int index) {
+    return Optional.ofNullable(delegations.get(index));
+  }
+
+  public int delegatedIn(ZoneId zone) {
+    return perZone.getOrDefault(zone, 0);
+  }
+
+  public Map<ZoneId, Integer> perZone() {
+    return perZone;
+  }
+
+  public int doneCount() {
+    return done.cardinality();
+  }
+
+  public int runningCount() {
+    int count = 0;
+    for (Delegation delegation : delegations.values()) {
+      count += delegation.state() == Delegation.State.RUNNING ? 1 : 0;
+    }
+    return count;
+  }
+
+  public int delegatedCount() {
+    return delegated.cardinality();
+  }
+
+  public int waitingCount() {
+    return spec.tasks() - unavailable().cardinality();
+  }
+
+  private BitSet unavailable() {
+    BitSet set = (BitSet) done.clone();
+    set.or(delegated);
+    return set;
+  }
+
+  /** Up to {@code most} tasks that may be tried now. */
+  public int[] waiting(int most, SteadyTime now) {
+    BitSet taken = unavailable();
+    int[] found = new int[Math.min(most, spec.tasks())];
+    int count = 0;
+    for (int index = taken.nextClearBit(0);
+        index < spec.tasks() && count < found.length;
+        index = taken.nextClearBit(index + 1)) {
+      SteadyTime until = pausedUntil.get(index);
+      if (until == null || !until.isAfter(now)) {
+        found[count++] = index;
+      }
+    }
+    return java.util.Arrays.copyOf(found, count);
+  }
+
+  /** Mean run time of this job's finished tasks. */
+  public Optional<Double> meanRunSeconds() {
+    return runCount == 0 ? Optional.empty() : Optional.of(runSecondsTotal / runCount);
+  }
+
+  public Resources delegatedResources() {
+    return spec.perTask().times(delegations.size());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
@@ -0,0 +1,254 @@
+package org.mulleinshift.bookkeeping;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Guard;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leader's way to the store: collects what has changed and writes it in few transactions, one
+ * at a time. Every transaction demands that this leader still leads and that each key it writes is
+ * as last seen, so a transaction applied late does nothing (a later write has moved the key on).
+ */
+public final class LeaderJournal {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaderJournal.class);
+  private static final Duration RETRY = Duration.ofMillis(250);
+
+  /** States of the journal. */
+  public enum State {
+    IDLE,
+    COMMITTING,
+    REREADING,
+    CLOSED
+  }
+
+  /**
+   * A change that must be stored as a whole. Its writes are made when it is sent; none means that
+   * the change is no longer wanted.
+   */
+  public interface Unit {
+    List<Write> writes();
+
+    void committed(Revision revision);
+
+    /** A key's current form after a conflict; the unit may adapt or give up. */
+    default void reread(String key, java.util.Optional<Item> item) {}
+  }
+
+  private final EventLoop loop;
+  private final StateStore store;
+  private final Revision term;
+  private final int mostOps;
+  private final Runnable onLost;
+  private final Map<String, Revision> versions = new HashMap<>();
+  private final Map<String, Unit> dirty = new LinkedHashMap<>();
+  private State state = State.IDLE;
+  private boolean flushPlanned;
+
+  public LeaderJournal(
+      EventLoop loop, StateStore store, Revision term, int mostOps, Runnable onLost) {
+    this.loop = loop;
+    this.store = store;
+    this.term = term;
+    this.mostOps = mostOps;
+    this.onLost = onLost;
+  }
+
+  public void known(String key, Revision version) {
+    versions.put(key, version);
+  }
+
+  public boolean knows(String key) {
+    return versions.containsKey(key);
+  }
+
+  public void forgotten(String key) {
+    versions.remove(key);
+  }
+
+  /** Asks for a unit to be stored; one of the same name that is not yet on its way is replaced. */
+  public void submit(String name, Unit unit) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    dirty.put(name, unit);
+    planFlush(Duration.ZERO);
+  }
+
+  public boolean pending(String name) {
+    return dirty.containsKey(name);
+  }
+
+  public int backlog() {
+    return dirty.size();
+  }
+
+  public void close() {
+    moveTo(State.CLOSED);
+    dirty.clear();
+  }
+
+  /** The only place where the journal's state changes; closed is final. */
+  private void moveTo(State next) {
+    if (state != State.CLOSED) {
+      state = next;
+    }
+  }
+
+  private void planFlush(Duration delay) {
+    if (flushPlanned) {
+      return;
+    }
+    flushPlanned = true;
+    Runnable flush =
+        () -> {
+          flushPlanned = false;
+          flush();
+        };
+    if (delay.isZero()) {
+      // At the end of the current step, so that what one step changes shares a transaction.
+      loop.post(flush);
+    } else {
+      loop.after(delay, flush);
+    }
+  }
+
+  private void flush() {
+    if (state != State.IDLE || dirty.isEmpty()) {
+      return;
+    }
+    Map<String, Unit> taken = new LinkedHashMap<>();
+    List<Write> writes = new ArrayList<>();
+    Iterator<Map.Entry<String, Unit>> units = dirty.entrySet().iterator();
+    int bytes = 0;
+    while (units.hasNext()) {
+      Map.Entry<String, Unit> entry = units.next();
+      List<Write> unitWrites = entry.getValue().writes();
+      if (unitWrites.isEmpty()) {
+        units.remove();
+        continue;
+      }
+      int size = unitWrites.stream().mapToInt(LeaderJournal::roughSize).sum();
+      if (!writes.isEmpty()
+          && (writes.size() + unitWrites.size() > mostOps || bytes + size > 48_000)) {
+        break;
+      }
+      bytes += size;
+      writes.addAll(unitWrites);
+      taken.put(entry.getKey(), entry.getValue());
+      units.remove();
+    }
+    if (writes.isEmpty()) {
+      return;
+    }
+    moveTo(State.COMMITTING);
+    store.commit(
+        guards(writes),
+        writes,
+        StateStore.Urgency.NORMAL,
+        outcome -> finished(taken, writes, outcome));
+  }
+
+  private static int roughSize(Write write) {
+    return 200
+        + write.key().length()
+        + write.value().map(value -> value.toString().length()).orElse(0);
+  }
+
+  private List<Guard> guards(List<Write> writes) {
+    List<Guard> guards = new ArrayList<>();
+    guards.add(new Guard(Keys.LEADER, term));
+    Set<String> keys = new LinkedHashSet<>();
+    writes.forEach(write -> keys.add(write.key()));
+    keys.forEach(key -> guards.add(new Guard(key, versions.getOrDefault(key, new Revision(0)))));
+    return guards;
+  }
+
+  private void finished(Map<String, Unit> taken, List<Write> writes, StateStore.Outcome outcome) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    if (outcome instanceof StateStore.Outcome.Committed committed) {
+      for (Write write : writes) {
+        if (write.value().isPresent()) {
+          versions.put(write.key(), committed.revision());
+        } else {
+          versions.remove(write.key());
+        }
+      }
+      moveTo(State.IDLE);
+      taken.values().forEach(unit -> unit.committed(committed.revision()));
+      planFlush(Duration.ZERO);
+      return;
+    }
+    // Units that were asked for anew meanwhile stay as they are: they are newer.
+    Map<String, Unit> newer = new LinkedHashMap<>(dirty);
+    dirty.clear();
+    dirty.putAll(taken);
+    dirty.putAll(newer);
+    if (outcome instanceof StateStore.Outcome.Refused) {
+      moveTo(State.IDLE);
+      planFlush(RETRY);
+      return;
+    }
+    LOG.info("transaction of {} writes: {}", writes.size(), outcome.getClass().getSimpleName());
+    moveTo(State.REREADING);
+    Set<String> keys = new LinkedHashSet<>();
+    keys.add(Keys.LEADER);
+    writes.forEach(write -> keys.add(write.key()));
+    reread(new ArrayList<>(keys), taken);
+  }
+
+  /** After a conflict or silence nothing is known of the keys: read each before writing again. */
+  private void reread(List<String> keys, Map<String, Unit> taken) {
+    if (state == State.CLOSED) {
+      return;
+    }
+    if (keys.isEmpty()) {
+      moveTo(State.IDLE);
+      planFlush(Duration.ZERO);
+      return;
+    }
+    String key = keys.get(keys.size() - 1);
+    store.get(
+        key,
+        StateStore.Urgency.NORMAL,
+        answer -> {
+          if (state == State.CLOSED) {
+            return;
+          }
+          if (answer instanceof StateStore.Answer.Found<Item> found) {
+            if (key.equals(Keys.LEADER) && !found.value().version().equals(term)) {
+              onLost.run();
+              return;
+            }
+            versions.put(key, found.value().version());
+            taken.values().forEach(unit -> unit.reread(key, java.util.Optional.of(found.value())));
+          } else if (answer instanceof StateStore.Answer.Absent<Item>) {
+            if (key.equals(Keys.LEADER)) {
+              onLost.run();
+              return;
+            }
+            versions.remove(key);
+            taken.values().forEach(unit -> unit.reread(key, java.util.Optional.empty()));
+          } else {
+            loop.after(RETRY, () -> reread(keys, taken));
+            return;
+          }
+          keys.remove(keys.size() - 1);
+          reread(keys, taken);
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/PrefixView.java
@@ -0,0 +1,150 @@
+package org.mulleinshift.bookkeeping;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.transport.EventLoop;
+
+/** Follows all keys with a prefix: reads them once, then watches, and reads again when it must. */
+public final class PrefixView {
+  /** The states of following. */
+  public enum State {
+    IDLE,
+    READING,
+    WATCHING,
+    PAUSED
+  }
+
+  /** Hears of every change, in order. An empty value: the key is gone. */
+  public interface Listener {
+    void changed(String key, Optional<Item> item);
+
+    /** All changes known so far were told. */
+    void settled(Revision revision);
+  }
+
+  private static final Duration PAUSE = Duration.ofMillis(400);
+
+  private final EventLoop loop;
+  private final StateStore store;
+  private final String prefix;
+  private final Listener listener;
+  private final Map<String, Revision> versions = new HashMap<>();
+  private State state = State.IDLE;
+  private Revision revision = new Revision(0);
+  private long round;
+
+  public PrefixView(EventLoop loop, StateStore store, String prefix, Listener listener) {
+    this.loop = loop;
+    this.store = store;
+    this.prefix = prefix;
+    this.listener = listener;
+  }
+
+  public void start() {
+    read();
+  }
+
+  /** Reads everything again; what an open watch still brings is ignored. */
+  public void read() {
+    long mine = enter(State.READING);
+    store.range(
+        prefix,
+        answer -> {
+          if (mine != round) {
+            return;
+          }
+          if (answer instanceof StateStore.Answer.Found<StateCodec.Range> found) {
+            replace(found.value());
+            watch();
+          } else {
+            pause(this::read);
+          }
+        });
+  }
+
+  private long enter(State next) {
+    state = next;
+    return ++round;
+  }
+
+  public State state() {
+    return state;
+  }
+
+  private void pause(Runnable next) {
+    long mine = enter(State.PAUSED);
+    Duration spread = PAUSE.plusMillis((long) (loop.random() * PAUSE.toMillis()));
+    loop.after(
+        spread,
+        () -> {
+          if (mine == round) {
+            next.run();
+          }
+        });
+  }
+
+  private void replace(StateCodec.Range range) {
+    Set<String> gone = new HashSet<>(versions.keySet());
+    for (Item item : range.items()) {
+      gone.remove(item.key());
+      if (!item.version().equals(versions.put(item.key(), item.version()))) {
+        listener.changed(item.key(), Optional.of(item));
+      }
+    }
+    for (String key : gone) {
+      versions.remove(key);
+      listener.changed(key, Optional.empty());
+    }
+    revision = range.revision();
+    listener.settled(revision);
+  }
+
+  private void watch() {
+    long mine = enter(State.WATCHING);
+    store.watch(
+        prefix,
+        revision,
+        answer -> {
+          if (mine != round) {
+            return;
+          }
+          if (answer instanceof StateStore.Answer.Found<StateCodec.Changes> found) {
+            apply(found.value());
+            watch();
+          } else if (answer instanceof StateStore.Answer.Absent<StateCodec.Changes>) {
+            // 410: the service no longer keeps the changes since our revision.
+            read();
+          } else {
+            pause(this::watch);
+          }
+        });
+  }
+
+  private void apply(StateCodec.Changes seen) {
+    for (StateCodec.Change change : seen.changes()) {
+      Revision known = versions.get(change.key());
+      if (known != null && known.compareTo(change.version()) >= 0) {
+        continue;
+      }
+      if (change.value().isPresent()) {
+        versions.put(change.key(), change.version());
+        listener.changed(
+            change.key(),
+            Optional.of(new Item(change.key(), change.value().get(), change.version())));
+      } else if (versions.remove(change.key()) != null) {
+        listener.changed(change.key(), Optional.empty());
+      }
+    }
+    if (seen.revision().compareTo(revision) > 0) {
+      revision = seen.revision();
+    }
+    listener.settled(revision);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/Rental.java
@@ -0,0 +1,102 @@
+package org.mulleinshift.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.mulleinshift.protocol.Json;
+import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.protocol.ZoneId;
+import org.mulleinshift.transport.SteadyTime;
+
+/** A rental asked for. Its name is stored before it is first used and never used again. */
+public final class Rental {
+  /** Steps of a rental. */
+  public enum State {
+    /** Its name is being stored. */
+    PLANNED,
+    /** The cloud may have it. Only a clear answer ends this state. */
+    ASKED,
+    /** Answered; the outcome is being stored. */
+    ANSWERED
+  }
+
+  private final String name;
+  private final MachineTypeId type;
+  private final ZoneId zone;
+  private final boolean spot;
+  private final int count;
+  private final SteadyTime plannedAt;
+  private State state;
+
+  public Rental(
+      String name,
+      MachineTypeId type,
+      ZoneId zone,
+      boolean spot,
+      int count,
+      SteadyTime plannedAt,
+      State state) {
+    this.name = name;
+    this.type = type;
+    this.zone = zone;
+    this.spot = spot;
+    this.count = count;
+    this.plannedAt = plannedAt;
+    this.state = state;
+  }
+
+  /** The only place where a rental's state changes. */
+  public void moveTo(State next) {
+    if (next.ordinal() < state.ordinal()) {
+      throw new IllegalStateException(name + ": " + state + " to " + next);
+    }
+    state = next;
+  }
+
+  public JsonNode write() {
+    ObjectNode node = Json.object();
+    node.put("type", type.value());
+    node.put("zone", zone.value());
+    node.put("spot", spot);
+    node.put("count", count);
+    return node;
+  }
+
+  public static Rental read(String name, JsonNode value, SteadyTime now) {
+    return new Rental(
+        name,
+        new MachineTypeId(value.path("type").asText()),
+        new ZoneId(value.path("zone").asText()),
+        value.path("spot").asBoolean(),
+        value.path("count").asInt(),
+        now,
+        State.ASKED);
+  }
+
+  public String name() {
+    return name;
+  }
+
+  public MachineTypeId type() {
+    return type;
+  }
+
+  public ZoneId zone() {
+    return zone;
+  }
+
+  public boolean spot() {
+    return spot;
+  }
+
+  public int count() {
+    return count;
+  }
+
+  public SteadyTime plannedAt() {
+    return plannedAt;
+  }
+
+  public State state() {
+    return state;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
@@ -0,0 +1,237 @@
+package org.mulleinshift.bookkeeping;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.HoldId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec;
+import org.mulleinshift.protocol.StateCodec.Guard;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.HttpCaller;
+import org.mulleinshift.transport.HttpReply;
+import org.mulleinshift.transport.HttpRequest;
+import org.mulleinshift.transport.RateBudget;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The state service. Every write is guarded, so that a transaction that is applied late changes
+ * nothing. An answer that makes no sense counts as none.
+ */
+public final class StateStore {
+  private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
+  private static final Duration DEADLINE = Duration.ofSeconds(2);
+  private static final Duration WATCH = Duration.ofSeconds(8);
+  private static final Duration WATCH_DEADLINE = Duration.ofSeconds(11);
+
+  /** Whether a call may wait for the budget. Renewals and acceptance may not. */
+  public enum Urgency {
+    URGENT(0),
+    NORMAL(0.1),
+    LOW(0.4);
+
+    private final double reserve;
+
+    Urgency(double reserve) {
+      this.reserve = reserve;
+    }
+  }
+
+  /** What came of a call whose answer carries a value. */
+  public sealed interface Answer<T> {
+    record Found<T>(T value) implements Answer<T> {}
+
+    /** Certain: there is no such key, lease or change history. */
+    record Absent<T>() implements Answer<T> {}
+
+    /** Nothing is known; a write may have happened or may happen later. */
+    record Unknown<T>() implements Answer<T> {}
+
+    /** Certain: not carried out. */
+    record Refused<T>() implements Answer<T> {}
+  }
+
+  /** What came of a transaction. */
+  public sealed interface Outcome {
+    record Committed(Revision revision) implements Outcome {}
+
+    record Conflict() implements Outcome {}
+
+    record LeaseGone() implements Outcome {}
+
+    record Unknown() implements Outcome {}
+
+    record Refused() implements Outcome {}
+  }
+
+  private interface Parser<T> {
+    T parse(String body) throws BadMessage;
+  }
+
+  private final EventLoop loop;
+  private final HttpCaller calls;
+  private final HttpCaller watches;
+  private final InetSocketAddress address;
+  private final RateBudget requests;
+  private final RateBudget writes;
+  private final double requestRate;
+  private final double writeRate;
+
+  public StateStore(
+      EventLoop loop,
+      HttpCaller calls,
+      HttpCaller watches,
+      InetSocketAddress address,
+      double requestRate,
+      double writeRate) {
+    this.loop = loop;
+    this.calls = calls;
+    this.watches = watches;
+    this.address = address;
+    this.requestRate = requestRate;
+    this.writeRate = writeRate;
+    this.requests = new RateBudget(loop, requestRate);
+    this.writes = new RateBudget(loop, writeRate);
+  }
+
+  public void get(String key, Urgency urgency, Consumer<Answer<Item>> then) {
+    call(HttpRequest.get(StateCodec.keyPath(key), DEADLINE), urgency, StateCodec::parseItem, then);
+  }
+
+  /** All keys with the prefix, page by page; not one moment's picture. */
+  public void range(String prefix, Consumer<Answer<StateCodec.Range>> then) {
+    rangeFrom(prefix, Optional.empty(), new ArrayList<>(), Optional.empty(), then);
+  }
+
+  private void rangeFrom(
+      String prefix,
+      Optional<String> after,
+      List<Item> found,
+      Optional<Revision> first,
+      Consumer<Answer<StateCodec.Range>> then) {
+    call(
+        HttpRequest.get(StateCodec.rangePath(prefix, after), DEADLINE.multipliedBy(2)),
+        Urgency.URGENT,
+        StateCodec::parseRange,
+        answer -> {
+          if (!(answer instanceof Answer.Found<StateCodec.Range> page)) {
+            then.accept(answer);
+            return;
+          }
+          StateCodec.Range range = page.value();
+          found.addAll(range.items());
+          // The oldest page's revision: a watch from there misses nothing.
+          Revision revision = first.orElse(range.revision());
+          if (range.more() && !range.items().isEmpty()) {
+            String last = range.items().get(range.items().size() - 1).key();
+            rangeFrom(prefix, Optional.of(last), found, Optional.of(revision), then);
+          } else {
+            then.accept(new Answer.Found<>(new StateCodec.Range(found, false, revision)));
+          }
+        });
+  }
+
+  public void commit(
+      List<Guard> guards, List<Write> changes, Urgency urgency, Consumer<Outcome> then) {
+    double reserve = urgency.reserve * writeRate;
+    if (urgency == Urgency.URGENT) {
+      writes.force(changes.size());
+    } else if (!writes.take(changes.size(), reserve)) {
+      loop.post(() -> then.accept(new Outcome.Refused()));
+      return;
+    }
+    requests.force(1);
+    calls.call(
+        address,
+        HttpRequest.post(StateCodec.COMMIT, StateCodec.commit(guards, changes), DEADLINE),
+        reply -> then.accept(outcome(reply)));
+  }
+
+  private static Outcome outcome(HttpReply reply) {
+    switch (reply.status()) {
+      case 200:
+        try {
+          return new Outcome.Committed(StateCodec.parseRevision(reply.body()));
+        } catch (BadMessage e) {
+          return new Outcome.Unknown();
+        }
+      case 409:
+        return new Outcome.Conflict();
+      case 400:
+        LOG.info("transaction refused: {}", reply.body());
+        return new Outcome.LeaseGone();
+      case 429, 503:
+        return new Outcome.Refused();
+      default:
+        return new Outcome.Unknown();
+    }
+  }
+
+  public void grantHold(Duration ttl, Consumer<Answer<HoldId>> then) {
+    call(
+        HttpRequest.post(StateCodec.HOLDS, StateCodec.grant(ttl), DEADLINE),
+        Urgency.URGENT,
+        StateCodec::parseHold,
+        then);
+  }
+
+  public void renew(HoldId hold, Consumer<Answer<Boolean>> then) {
+    call(
+        HttpRequest.post(StateCodec.renewPath(hold), "{}", DEADLINE),
+        Urgency.URGENT,
+        body -> true,
+        then);
+  }
+
+  public void endHold(HoldId hold, Consumer<Answer<Boolean>> then) {
+    call(
+        HttpRequest.delete(StateCodec.holdPath(hold), DEADLINE),
+        Urgency.URGENT,
+        body -> true,
+        then);
+  }
+
+  public void watch(String prefix, Revision from, Consumer<Answer<StateCodec.Changes>> then) {
+    requests.force(1);
+    watches.call(
+        address,
+        HttpRequest.get(StateCodec.watchPath(prefix, from, WATCH), WATCH_DEADLINE),
+        reply -> then.accept(answer(reply, StateCodec::parseChanges)));
+  }
+
+  private <T> void call(
+      HttpRequest request, Urgency urgency, Parser<T> parser, Consumer<Answer<T>> then) {
+    if (urgency == Urgency.URGENT) {
+      requests.force(1);
+    } else if (!requests.take(1, urgency.reserve * requestRate)) {
+      loop.post(() -> then.accept(new Answer.Refused<>()));
+      return;
+    }
+    calls.call(address, request, reply -> then.accept(answer(reply, parser)));
+  }
+
+  private static <T> Answer<T> answer(HttpReply reply, Parser<T> parser) {
+    switch (reply.status()) {
+      case 200:
+        try {
+          return new Answer.Found<>(parser.parse(reply.body()));
+        } catch (BadMessage e) {
+          LOG.warn("answer of the state service: {}", e.getMessage());
+          return new Answer.Unknown<>();
+        }
+      case 404, 410:
+        return new Answer.Absent<>();
+      case 429, 503:
+        return new Answer.Refused<>();
+      default:
+        return new Answer.Unknown<>();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/TaskRanges.java
@@ -0,0 +1,38 @@
+package org.mulleinshift.bookkeeping;
+
+import java.util.BitSet;
+
+/** Writes sets of task numbers as short texts such as {@code 0-7,9}. */
+final class TaskRanges {
+  private TaskRanges() {}
+
+  static String write(BitSet set) {
+    StringBuilder text = new StringBuilder();
+    for (int from = set.nextSetBit(0); from >= 0; ) {
+      int end = set.nextClearBit(from);
+      if (text.length() > 0) {
+        text.append(',');
+      }
+      text.append(from);
+      if (end - from > 1) {
+        text.append('-').append(end - 1);
+      }
+      from = set.nextSetBit(end);
+    }
+    return text.toString();
+  }
+
+  static BitSet read(String text) {
+    BitSet set = new BitSet();
+    if (text.isEmpty()) {
+      return set;
+    }
+    for (String part : text.split(",")) {
+      int dash = part.indexOf('-');
+      int from = Integer.parseInt(dash < 0 ? part : part.substring(0, dash));
+      int last = dash < 0 ? from : Integer.parseInt(part.substring(dash + 1));
+      set.set(from, last + 1);
+    }
+    return set;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -0,0 +1,391 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.mulleinshift.bookkeeping.ControlView;
+import org.mulleinshift.bookkeeping.JobRecord;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.PrefixView;
+import org.mulleinshift.bookkeeping.StateStore;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.JobCodec;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.protocol.PeerCodec;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.WorkerCodec;
+import org.mulleinshift.protocol.peer.Assignment;
+import org.mulleinshift.protocol.peer.BlockReport;
+import org.mulleinshift.protocol.peer.Heartbeat;
+import org.mulleinshift.protocol.peer.JobDigest;
+import org.mulleinshift.protocol.peer.PeerFrame;
+import org.mulleinshift.protocol.peer.StrangerReport;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.settings.Tunables;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.HttpCaller;
+import org.mulleinshift.transport.PeerLink;
+import org.mulleinshift.transport.RateBudget;
+import org.mulleinshift.transport.RequestHandler;
+import org.mulleinshift.transport.Responder;
+import org.mulleinshift.transport.SteadyTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: joins the parts and sends each message to the one that it concerns. */
+public final class Controller implements RequestHandler {
+  private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+  private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+  private static final Duration STORE_LOST = Duration.ofSeconds(4);
+
+  /** The ways out of the process. */
+  public record Outside(
+      EventLoop loop,
+      HttpCaller state,
+      HttpCaller watches,
+      HttpCaller cloud,
+      HttpCaller workers,
+      PeerLink peers) {}
+
+  private final EventLoop loop;
+  private final PlatformSettings settings;
+  private final Tunables tunables;
+  private final NodeId self;
+  private final PeerLink peers;
+  private final PeerCodec codec = new PeerCodec();
+  private final StateStore store;
+  private final ControlView view = new ControlView();
+  private final PrefixView control;
+  private final PrefixView jobs;
+  private final Set<JobId> cancelled = new HashSet<>();
+  private final Map<NodeId, SteadyTime> heardAt = new HashMap<>();
+  private final Map<NodeId, Long> storeSilence = new HashMap<>();
+  private final Session session;
+  private final Election election;
+  private final Catalog catalog;
+  private final HolderDesk desk;
+  private final Frontend frontend;
+  private final RunTimes runTimes = new RunTimes();
+  private final Fleet.Cloud cloud;
+  private Optional<Leader> leader = Optional.empty();
+  private boolean jobsKnown;
+  private long badFrames;
+
+  public Controller(PlatformSettings settings, Tunables tunables, Outside outside) {
+    this.loop = outside.loop();
+    this.settings = settings;
+    this.tunables = tunables;
+    this.self = new NodeId(settings.label());
+    this.peers = outside.peers();
+    PlatformSettings.Cluster cluster = settings.cluster();
+    double share = 1.0 / Math.max(1, cluster.size());
+    this.store =
+        new StateStore(
+            loop,
+            outside.state(),
+            outside.watches(),
+            settings.state(),
+            cluster.state().requestsPerSecond() * Math.min(1, share * 1.4),
+            cluster.state().writesPerSecond() * Math.min(1, share * 1.6));
+    this.control = new PrefixView(loop, store, Keys.CONTROL, new ControlListener());
+    this.jobs = new PrefixView(loop, store, Keys.ACTIVE, new JobListener());
+    Duration blockLease = blockLease(cluster.workers(), tunables);
+    this.session =
+        new Session(
+            loop,
+            store,
+            self,
+            blockLease,
+            tunables.seconds(Tunables.Key.RENEW_S),
+            this::onSessionChange);
+    this.election =
+        new Election(
+            loop,
+            store,
+            self,
+            tunables.seconds(Tunables.Key.LEADER_LEASE_S),
+            new ElectionListener());
+    this.catalog = new Catalog(loop, outside.cloud(), settings.cloud(), () -> {});
+    this.desk =
+        new HolderDesk(
+            self,
+            view,
+            session,
+            new BlockHolder.Surroundings(
+                loop,
+                outside.workers(),
+                catalog,
+                cluster.workers(),
+                blockLease,
+                cancelled::contains,
+                this::onBlockNews),
+            this::toLeader);
+    this.frontend =
+        new Frontend(
+            loop,
+            store,
+            catalog,
+            cluster,
+            tunables.count(Tunables.Key.RETRY_AFTER_S),
+            this::onCancelled);
+    this.cloud =
+        new Fleet.Cloud(
+            outside.cloud(),
+            settings.cloud(),
+            new RateBudget(loop, cluster.cloudLimits().requestsPerSecond() * 0.6));
+  }
+
+  /**
+   * The longest block lease with which a cancelled job's tasks are surely gone in time: a holder
+   * that hears nothing acts until its lease is over, and its workers run on for a worker lease.
+   */
+  public static Duration blockLease(PlatformSettings.Workers workers, Tunables tunables) {
+    Duration left =
+        workers
+            .cancel()
+            .minus(workers.lease())
+            .minus(tunables.seconds(Tunables.Key.CANCEL_MARGIN_S));
+    Duration least = Duration.ofSeconds(2);
+    return left.compareTo(least) < 0 ? least : left;
+  }
+
+  public void start() {
+    session.start();
+    control.start();
+    jobs.start();
+    catalog.start();
+    desk.start();
+    heartbeat();
+  }
+
+  @Override
+  public void handle(String method, String path, String body, Responder responder) {
+    if (path.equals(WorkerCodec.CHECKIN)) {
+      if (only("POST", method, responder)) {
+        desk.checkin(body, responder);
+      }
+    } else if (path.equals(JobCodec.RUNS)) {
+      if (only("POST", method, responder)) {
+        frontend.submit(body, responder);
+      }
+    } else if (path.startsWith(JobCodec.RUNS + "/")) {
+      handleJob(method, path.substring(JobCodec.RUNS.length() + 1), responder);
+    } else if (path.equals("/ready")) {
+      if (only("GET", method, responder)) {
+        responder.respond(ready() ? 200 : 503, "{}");
+      }
+    } else {
+      responder.respond(404, JobCodec.error("no such path"));
+    }
+  }
+
+  private void handleJob(String method, String rest, Responder responder) {
+    int slash = rest.indexOf('/');
+    JobId job = new JobId(slash < 0 ? rest : rest.substring(0, slash));
+    if (slash < 0) {
+      if (only("GET", method, responder)) {
+        frontend.poll(job, responder);
+      }
+    } else if (rest.substring(slash).equals("/withdraw")) {
+      if (only("POST", method, responder)) {
+        frontend.withdraw(job, responder);
+      }
+    } else {
+      responder.respond(404, JobCodec.error("no such path"));
+    }
+  }
+
+  private static boolean only(String wanted, String method, Responder responder) {
+    if (wanted.equals(method)) {
+      return true;
+    }
+    responder.respond(405, JobCodec.error("method not allowed"));
+    return false;
+  }
+
+  /** Not ready while only this node is without the state service: others can do better. */
+  private boolean ready() {
+    boolean started = session.state() == Session.State.HELD && jobsKnown && catalog.known();
+    boolean lost = session.storeSilence().compareTo(STORE_LOST) > 0;
+    boolean othersServed =
+        storeSilence.entrySet().stream()
+            .anyMatch(
+                entry ->
+                    entry.getValue() < STORE_LOST.toMillis()
+                        && peerSilence(entry.getKey()).compareTo(STORE_LOST) < 0);
+    return started && !(lost && othersServed);
+  }
+
+  private Duration peerSilence(NodeId node) {
+    SteadyTime at = heardAt.get(node);
+    return at == null ? Duration.ofDays(1) : loop.now().since(at);
+  }
+
+  private void heartbeat() {
+    loop.after(HEARTBEAT, this::heartbeat);
+    Heartbeat beat =
+        new Heartbeat(
+            session.hold().map(hold -> hold.value()).orElse(0L), session.storeSilence().toMillis());
+    settings.members().forEach(member -> send(new NodeId(member.label()), beat));
+  }
+
+  private void send(NodeId node, Object body) {
+    if (node.equals(self)) {
+      deliver(self, body);
+    } else {
+      peers.send(node.value(), codec.write(self, body));
+    }
+  }
+
+  private void toLeader(Object body) {
+    if (leader.isPresent()) {
+      deliver(self, body);
+    } else {
+      view.leader()
+          .filter(record -> !record.node().equals(self))
+          .ifPresent(record -> send(record.node(), body));
+    }
+  }
+
+  /** A frame from a peer. */
+  public void onFrame(byte[] frame) {
+    try {
+      PeerFrame message = codec.read(frame);
+      NodeId sender = new NodeId(message.getSender());
+      boolean known = settings.members().stream().anyMatch(m -> m.label().equals(sender.value()));
+      if (!known) {
+        throw new BadMessage("unknown sender");
+      }
+      heardAt.put(sender, loop.now());
+      deliver(sender, message.getBody());
+    } catch (BadMessage e) {
+      if (badFrames++ % 100 == 0) {
+        LOG.warn("peer frame: {}", e.getMessage());
+      }
+    }
+  }
+
+  private void deliver(NodeId sender, Object body) {
+    if (body instanceof Heartbeat beat) {
+      storeSilence.put(sender, beat.getStoreSilentMs());
+    } else if (body instanceof Assignment assignment) {
+      desk.onAssignment(assignment);
+    } else if (body instanceof BlockReport report) {
+      leader.ifPresent(term -> term.onBlockReport(report));
+    } else if (body instanceof StrangerReport report) {
+      leader.ifPresent(term -> term.onStranger(report));
+    } else if (body instanceof JobDigest digest) {
+      frontend.onDigest(digest);
+    }
+  }
+
+  private void onSessionChange() {
+    if (desk != null) {
+      desk.onControlChange();
+      observeElection();
+    }
+  }
+
+  private void observeElection() {
+    boolean ready =
+        session.state() == Session.State.HELD
+            && control.state() == PrefixView.State.WATCHING
+            && jobsKnown
+            && catalog.known();
+    election.observe(view, ready);
+  }
+
+  private void onBlockNews() {
+    desk.reportSoon();
+  }
+
+  private void onCancelled(JobId job) {
+    if (cancelled.add(job)) {
+      desk.onCancelled(job);
+    }
+  }
+
+  private final class ControlListener implements PrefixView.Listener {
+    private boolean grantsChanged;
+
+    @Override
+    public void changed(String key, Optional<Item> item) {
+      view.apply(key, item);
+      grantsChanged |= key.startsWith(Keys.GRANTS);
+    }
+
+    @Override
+    public void settled(Revision revision) {
+      if (grantsChanged) {
+        grantsChanged = false;
+        session.verifySoon();
+      }
+      desk.onControlChange();
+      leader.ifPresent(Leader::onControlChange);
+      observeElection();
+    }
+  }
+
+  private final class JobListener implements PrefixView.Listener {
+    @Override
+    public void changed(String key, Optional<Item> item) {
+      if (item.isEmpty()) {
+        cancelled.remove(new JobId(key.substring(Keys.ACTIVE.length())));
+        return;
+      }
+      JobRecord.read(item.get())
+          .ifPresent(
+              record -> {
+                if (record.cancelled()) {
+                  onCancelled(record.id());
+                }
+                leader.ifPresent(term -> term.onJob(record));
+              });
+    }
+
+    @Override
+    public void settled(Revision revision) {
+      if (!jobsKnown) {
+        jobsKnown = true;
+        observeElection();
+      }
+    }
+  }
+
+  private final class ElectionListener implements Election.Listener {
+    @Override
+    public void won(Revision term) {
+      Leader next =
+          new Leader(
+              new Leader.Surroundings(
+                  loop,
+                  store,
+                  settings,
+                  tunables,
+                  self,
+                  view,
+                  catalog,
+                  runTimes,
+                  Controller.this::peerSilence,
+                  Controller.this::send,
+                  election::certain,
+                  () -> election.resign("another leader's term")),
+              cloud,
+              term);
+      leader = Optional.of(next);
+      next.start();
+    }
+
+    @Override
+    public void lost() {
+      leader.ifPresent(Leader::retire);
+      leader = Optional.empty();
+      loop.after(Duration.ofMillis(500), Controller.this::observeElection);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Election.java
@@ -0,0 +1,168 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.mulleinshift.bookkeeping.ControlView;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.StateStore;
+import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.protocol.HoldId;
+import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Guard;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.SteadyTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Who takes the leader's key leads; each of the leader's writes demands that it still has it. */
+final class Election {
+  private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+
+  /** States of a node in the election. */
+  enum State {
+    FOLLOWING,
+    STANDING,
+    LEADING
+  }
+
+  /** Hears of the start and the end of a term of this node. */
+  interface Listener {
+    void won(Revision term);
+
+    void lost();
+  }
+
+  private final EventLoop loop;
+  private final StateStore store;
+  private final NodeId self;
+  private final Duration ttl;
+  private final Listener listener;
+  private State state = State.FOLLOWING;
+  private Optional<HoldId> hold = Optional.empty();
+  private Revision term = new Revision(0);
+  private SteadyTime renewedAt;
+
+  Election(EventLoop loop, StateStore store, NodeId self, Duration ttl, Listener listener) {
+    this.loop = loop;
+    this.store = store;
+    this.self = self;
+    this.ttl = ttl;
+    this.listener = listener;
+    this.renewedAt = loop.now().minus(ttl);
+  }
+
+  /** The only place where the state changes. */
+  private void moveTo(State next) {
+    State old = state;
+    state = next;
+    if (old != next) {
+      LOG.info("election {} -> {}", old, next);
+    }
+    if (next == State.LEADING) {
+      listener.won(term);
+    } else if (old == State.LEADING) {
+      hold.ifPresent(held -> store.endHold(held, answer -> {}));
+      hold = Optional.empty();
+      listener.lost();
+    }
+  }
+
+  /** Called whenever the view of the control keys changes. */
+  void observe(ControlView view, boolean ready) {
+    if (state == State.LEADING) {
+      Optional<ControlView.LeaderRecord> seen = view.leader();
+      if (seen.isPresent() && seen.get().term().compareTo(term) > 0) {
+        resign("another leader");
+      }
+    } else if (state == State.FOLLOWING && ready && view.leader().isEmpty()) {
+      moveTo(State.STANDING);
+      // Spread, so that not all nodes try at the same moment.
+      loop.after(Duration.ofMillis((long) (50 + 250 * loop.random())), () -> stand(view));
+    }
+  }
+
+  private void stand(ControlView view) {
+    if (view.leader().isPresent()) {
+      moveTo(State.FOLLOWING);
+      return;
+    }
+    SteadyTime sent = loop.now();
+    store.grantHold(
+        ttl,
+        answer -> {
+          if (answer instanceof Answer.Found<HoldId> found) {
+            hold = Optional.of(found.value());
+            renewedAt = sent;
+            take(found.value(), view);
+          } else {
+            giveUp(view);
+          }
+        });
+  }
+
+  private void take(HoldId held, ControlView view) {
+    store.commit(
+        List.of(new Guard(Keys.LEADER, new Revision(0))),
+        List.of(Write.put(Keys.LEADER, ControlView.leaderValue(self, held), held)),
+        StateStore.Urgency.URGENT,
+        outcome -> {
+          if (outcome instanceof StateStore.Outcome.Committed committed) {
+            term = committed.revision();
+            moveTo(State.LEADING);
+            renew(held);
+          } else {
+            // A win whose answer was lost ends with this lease.
+            store.endHold(held, ended -> {});
+            hold = Optional.empty();
+            giveUp(view);
+          }
+        });
+  }
+
+  private void giveUp(ControlView view) {
+    moveTo(State.FOLLOWING);
+    loop.after(Duration.ofMillis((long) (300 + 400 * loop.random())), () -> observe(view, true));
+  }
+
+  private void renew(HoldId held) {
+    if (state != State.LEADING || !hold.equals(Optional.of(held))) {
+      return;
+    }
+    SteadyTime sent = loop.now();
+    store.renew(
+        held,
+        answer -> {
+          if (state != State.LEADING || !hold.equals(Optional.of(held))) {
+            return;
+          }
+          if (answer instanceof Answer.Absent<Boolean>) {
+            resign("lease over");
+            return;
+          }
+          boolean renewed = answer instanceof Answer.Found<Boolean>;
+          if (renewed) {
+            renewedAt = sent;
+          }
+          loop.after(renewed ? ttl.dividedBy(4) : ttl.dividedBy(8), () -> renew(held));
+        });
+  }
+
+  void resign(String why) {
+    if (state == State.LEADING) {
+      LOG.warn("leadership lost: {}", why);
+      moveTo(State.FOLLOWING);
+    }
+  }
+
+  boolean leading() {
+    return state == State.LEADING;
+  }
+
+  /** Whether nobody else can lead now, by our clock. */
+  boolean certain() {
+    return leading() && renewedAt.plus(ttl.multipliedBy(9).dividedBy(10)).isAfter(loop.now());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -0,0 +1,736 @@
+package org.mulleinshift.coordination;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.mulleinshift.bookkeeping.ControlView.BlockRecord;
+import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
+import org.mulleinshift.bookkeeping.Delegation;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.LeaderJournal;
+import org.mulleinshift.bookkeeping.Rental;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.BlockId;
+import org.mulleinshift.protocol.CloudCodec;
+import org.mulleinshift.protocol.CloudMachine;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.MachineType;
+import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.protocol.Resources;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.protocol.TeamId;
+import org.mulleinshift.protocol.ZoneId;
+import org.mulleinshift.protocol.peer.MachineReport;
+import org.mulleinshift.protocol.peer.StrangerReport;
+import org.mulleinshift.settings.Tunables;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.HttpCaller;
+import org.mulleinshift.transport.HttpReply;
+import org.mulleinshift.transport.HttpRequest;
+import org.mulleinshift.transport.RateBudget;
+import org.mulleinshift.transport.SteadyTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sizes the fleet from the queue by the forward walk; rents, adopts and returns machines. */
+final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+  private static final Duration DEADLINE = Duration.ofSeconds(5);
+  private static final Duration RETRY = Duration.ofSeconds(1);
+  private static final Duration LIST_EVERY = Duration.ofSeconds(10);
+  private static final int REMEMBERED_DELETED = 5000;
+
+  /** The way to the cloud. */
+  record Cloud(HttpCaller calls, InetSocketAddress address, RateBudget budget) {}
+
+  /** A kind of machine in a zone, which the cloud may run out of. */
+  private record Offer(MachineTypeId type, ZoneId zone, boolean spot) {}
+
+  /** What the leader knows of a machine besides its record. */
+  private static final class Tracked {
+    private final SteadyTime rentedAt;
+    private SteadyTime idleSince;
+    private boolean closed;
+
+    Tracked(SteadyTime rentedAt) {
+      this.rentedAt = rentedAt;
+      this.idleSince = rentedAt;
+    }
+  }
+
+  private final Leader leader;
+  private final Leader.Surroundings around;
+  private final EventLoop loop;
+  private final Cloud cloud;
+  private final Revision term;
+  private final Map<MachineId, Tracked> tracked = new HashMap<>();
+  private final Map<String, Rental> rentals = new LinkedHashMap<>();
+  private final Map<Offer, SteadyTime> refusedUntil = new HashMap<>();
+  private final Map<MachineTypeId, Double> bootSeconds = new HashMap<>();
+  private final Set<MachineId> deleting = new LinkedHashSet<>();
+  private final Set<MachineId> deleted = new LinkedHashSet<>();
+  private Optional<SteadyTime> lastResize = Optional.empty();
+  private boolean deleteInFlight;
+  private long names;
+
+  Fleet(Leader leader, Leader.Surroundings around, Cloud cloud, Revision term) {
+    this.leader = leader;
+    this.around = around;
+    this.loop = around.loop();
+    this.cloud = cloud;
+    this.term = term;
+  }
+
+  /** A new leader asks again under the stored names: the same name never rents twice. */
+  void load(List<Item> items, LeaderJournal journal) {
+    for (Item item : items) {
+      String name = item.key().substring(Keys.RENTALS.length());
+      journal.known(item.key(), item.version());
+      rentals.put(name, Rental.read(name, item.value(), loop.now()));
+    }
+  }
+
+  void start() {
+    rentals.values().forEach(this::ask);
+    loop.after(Duration.ofMillis(500), this::walkRegularly);
+    loop.after(Duration.ofSeconds(2), this::listRegularly);
+  }
+
+  private void walkRegularly() {
+    if (leader.leading()) {
+      loop.after(around.tunables().seconds(Tunables.Key.WALK_S), this::walkRegularly);
+      if (around.certain().getAsBoolean()) {
+        inspectMachines();
+        walk();
+        deleteSome();
+      }
+    }
+  }
+
+  /** Must take no new task. */
+  boolean closed(MachineId machine) {
+    Tracked known = tracked.get(machine);
+    return known != null && known.closed;
+  }
+
+  private Tracked track(MachineId machine) {
+    return tracked.computeIfAbsent(machine, key -> new Tracked(loop.now()));
+  }
+
+  void onReport(LeaderBlock block) {
+    Set<String> busy = new HashSet<>();
+    block.taskReports().forEach(task -> busy.add(task.getMachine()));
+    boolean cameUp = false;
+    for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
+      MachineId id = entry.getKey();
+      MachineRecord record = entry.getValue();
+      Optional<MachineReport> report = block.reportOf(id);
+      if (report.isEmpty()) {
+        continue;
+      }
+      Tracked known = track(id);
+      if (busy.contains(id.value())) {
+        known.idleSince = loop.now();
+      }
+      if (!record.up() && report.get().getPhase().equals(MachinePhase.CONFIRMED.name())) {
+        entry.setValue(new MachineRecord(record.type(), record.spot(), true));
+        double boot = loop.now().secondsSince(known.rentedAt);
+        bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3);
+        known.idleSince = loop.now();
+        cameUp = true;
+        LOG.info("{} is up after {} s", id, Math.round(boot));
+      }
+    }
+    if (cameUp) {
+      store(block);
+    }
+  }
+
+  private void store(LeaderBlock block) {
+    leader.journal().submit(Keys.block(block.id()), new BlockUnit(block));
+  }
+
+  private double bootExpected(MachineType type) {
+    double listed = type.boot().toMillis() / 1000.0;
+    double start = listed > 0 ? listed : around.tunables().number(Tunables.Key.BOOT_DEFAULT_S);
+    return bootSeconds.getOrDefault(type.id(), start);
+  }
+
+  /** Gives up machines that do not come up, are silent beyond their lease, or fail everything. */
+  private void inspectMachines() {
+    Duration lease = around.settings().cluster().workers().lease();
+    for (LeaderBlock block : leader.blocks().values()) {
+      for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
+        MachineId id = entry.getKey();
+        Tracked known = track(id);
+        Optional<MachineType> type = around.catalog().type(entry.getValue().type());
+        Optional<MachineReport> report = block.reportOf(id);
+        boolean overdue =
+            !entry.getValue().up()
+                && type.isPresent()
+                && loop.now().secondsSince(known.rentedAt)
+                    > 10
+                        + bootExpected(type.get())
+                            * around.tunables().number(Tunables.Key.BOOT_OVERDUE_FACTOR);
+        boolean silent =
+            entry.getValue().up()
+                && report.isPresent()
+                && report.get().getSilentMs() > lease.toMillis() + 1000;
+        if (overdue || silent || leader.faulty(id)) {
+          giveUp(id, overdue ? "does not come up" : silent ? "is silent" : "fails its tasks");
+        }
+      }
+    }
+  }
+
+  private void giveUp(MachineId machine, String why) {
+    if (deleting.add(machine)) {
+      LOG.info("{} {}: returning it", machine, why);
+      track(machine).closed = true;
+      leader.blocks().values().stream()
+          .filter(block -> block.machines().containsKey(machine))
+          .forEach(block -> leader.touch(block.id()));
+    }
+  }
+
+  private void deleteSome() {
+    if (deleting.isEmpty() || deleteInFlight || !cloud.budget().take(1, 0)) {
+      return;
+    }
+    List<MachineId> batch = deleting.stream().limit(CloudCodec.MOST_DELETED).toList();
+    deleteInFlight = true;
+    cloud
+        .calls()
+        .call(
+            cloud.address(),
+            HttpRequest.post(CloudCodec.DELETE, CloudCodec.delete(batch), DEADLINE),
+            reply -> {
+              deleteInFlight = false;
+              // Only a 200 proves that the machines and all on them are gone.
+              if (reply.ok() && leader.leading()) {
+                gone(batch);
+              }
+            });
+  }
+
+  private void gone(List<MachineId> machines) {
+    machines.forEach(deleting::remove);
+    deleted.addAll(machines);
+    while (deleted.size() > REMEMBERED_DELETED) {
+      deleted.remove(deleted.iterator().next());
+    }
+    machines.forEach(tracked::remove);
+    for (LeaderBlock block : leader.blocks().values()) {
+      if (block.machines().keySet().removeAll(machines)) {
+        store(block);
+      }
+    }
+  }
+
+  private void walk() {
+    List<Room> rooms = new ArrayList<>();
+    List<Walk.Release> releases = new ArrayList<>();
+    Map<MachineId, Room> byMachine = new HashMap<>();
+    double horizon = horizon();
+    collectMachines(rooms, releases, byMachine);
+    collectRentals(rooms, releases, horizon);
+    collectRunning(byMachine, releases);
+    List<Walk.Waiting> waiting = waiting();
+    int demand = waiting.stream().mapToInt(Walk.Waiting::count).sum();
+    Walk.Result result =
+        Walk.run(
+            rooms, releases, waiting, horizon, around.tunables().count(Tunables.Key.WALK_STEPS));
+    LOG.debug(
+        "walk: {} machines, {} waiting, {} short",
+        byMachine.size(),
+        demand,
+        result.shortage().stream().mapToInt(Walk.Waiting::count).sum());
+    boolean spaced = lastResize.isEmpty() || loop.now().secondsSince(lastResize.get()) >= horizon;
+    if (!result.shortage().isEmpty() && spaced) {
+      rentFor(result.shortage());
+    }
+    drain(result.used());
+  }
+
+  private double horizon() {
+    double least = Double.MAX_VALUE;
+    for (MachineType type : around.catalog().types().values()) {
+      least = Math.min(least, bootExpected(type));
+    }
+    return least;
+  }
+
+  private void collectMachines(
+      List<Room> rooms, List<Walk.Release> releases, Map<MachineId, Room> byMachine) {
+    for (LeaderBlock block : leader.blocks().values()) {
+      block
+          .machines()
+          .forEach(
+              (id, record) -> {
+                Optional<MachineType> type = around.catalog().type(record.type());
+                if (type.isEmpty() || closed(id)) {
+                  return;
+                }
+                boolean leaving = block.reportOf(id).filter(r -> r.getRecallMs() >= 0).isPresent();
+                if (leaving) {
+                  return;
+                }
+                Resources size = type.get().size();
+                double age = loop.now().secondsSince(track(id).rentedAt);
+                double bootLeft = record.up() ? 0 : bootExpected(type.get()) - age;
+                if (bootLeft < -0.5 * bootExpected(type.get())) {
+                  // Overdue: it may never come, so it is no room.
+                  return;
+                }
+                Room room =
+                    new Room(
+                        id,
+                        record.type(),
+                        record.spot(),
+                        size,
+                        record.up() ? size : Resources.ZERO,
+                        new HashSet<>());
+                rooms.add(room);
+                byMachine.put(id, room);
+                if (!record.up()) {
+                  releases.add(new Walk.Release(Math.max(0, bootLeft), room, size));
+                }
+              });
+    }
+  }
+
+  private void collectRentals(List<Room> rooms, List<Walk.Release> releases, double horizon) {
+    for (Rental rental : rentals.values()) {
+      MachineType type = around.catalog().type(rental.type()).orElse(null);
+      boolean unanswered = loop.now().secondsSince(rental.plannedAt()) > DEADLINE.toSeconds() * 2;
+      if (type == null || unanswered || rental.state() == Rental.State.ANSWERED) {
+        continue;
+      }
+      for (int i = 0; i < rental.count(); i++) {
+        Room room =
+            new Room(
+                new MachineId(rental.name() + "#" + i),
+                rental.type(),
+                rental.spot(),
+                type.size(),
+                Resources.ZERO,
+                new HashSet<>());
+        rooms.add(room);
+        releases.add(new Walk.Release(horizon, room, type.size()));
+      }
+    }
+  }
+
+  private void collectRunning(Map<MachineId, Room> byMachine, List<Walk.Release> releases) {
+    for (Job job : leader.jobs().values()) {
+      double expected = around.runTimes().expectedSeconds(job);
+      PlacementNeed need = PlacementNeed.of(job.spec());
+      for (Delegation delegation : job.delegations()) {
+        if (delegation.state() == Delegation.State.ENDED) {
+          continue;
+        }
+        Room room = delegation.machine().map(byMachine::get).orElse(null);
+        if (room == null) {
+          List<Room> anywhere = new ArrayList<>(byMachine.values());
+          room = Placer.choose(need, anywhere).orElse(null);
+        }
+        if (room == null) {
+          continue;
+        }
+        room.take(need);
+        double ran =
+            delegation.runningSince().map(since -> loop.now().secondsSince(since)).orElse(0.0);
+        // A task past its expected end frees nothing that can be counted on.
+        double left = ran > expected ? expected * 0.5 : expected - ran;
+        releases.add(new Walk.Release(left, room, need.perTask()));
+      }
+    }
+  }
+
+  /** Waiting tasks in order, without those that their team's limit holds back. */
+  private List<Walk.Waiting> waiting() {
+    Map<TeamId, Resources> use = new HashMap<>(leader.teamUse());
+    List<Walk.Waiting> groups = new ArrayList<>();
+    for (Job job : leader.ranked()) {
+      if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0) {
+        continue;
+      }
+      Resources used = use.getOrDefault(job.spec().team(), Resources.ZERO);
+      int count = Math.min(job.waitingCount(), leader.withinLimit(job, used));
+      if (count > 0) {
+        use.put(job.spec().team(), used.plus(job.spec().perTask().times(count)));
+        groups.add(
+            new Walk.Waiting(
+                PlacementNeed.of(job.spec()), around.runTimes().expectedSeconds(job), count));
+      }
+    }
+    return groups;
+  }
+
+  private void rentFor(List<Walk.Waiting> shortage) {
+    Map<Offer, Integer> wanted = new LinkedHashMap<>();
+    List<Room> fresh = new ArrayList<>();
+    for (Walk.Waiting group : shortage) {
+      for (int left = group.count(); left > 0; left--) {
+        Optional<Room> room = Placer.choose(group.need(), fresh);
+        if (room.isEmpty()) {
+          Optional<Offer> offer = bestOffer(group.need(), left, wanted);
+          if (offer.isEmpty()) {
+            break;
+          }
+          wanted.merge(offer.get(), 1, Integer::sum);
+          room = Optional.of(freshRoom(offer.get(), fresh));
+        }
+        room.get().take(group.need());
+      }
+    }
+    wanted.forEach(this::rent);
+    if (!wanted.isEmpty()) {
+      lastResize = Optional.of(loop.now());
+    }
+  }
+
+  private Room freshRoom(Offer offer, List<Room> fresh) {
+    Resources size = around.catalog().type(offer.type()).get().size();
+    Room room =
+        new Room(
+            new MachineId("new-" + fresh.size()),
+            offer.type(),
+            offer.spot(),
+            size,
+            size,
+            new HashSet<>());
+    fresh.add(room);
+    return room;
+  }
+
+  /** The cheapest way to run the tasks that would use a new machine, among what is to be had. */
+  private Optional<Offer> bestOffer(PlacementNeed need, int count, Map<Offer, Integer> wanted) {
+    Offer best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (MachineType type : around.catalog().types().values()) {
+      int fit = Math.min(count, need.perTask().countIn(type.size()));
+      if (fit == 0) {
+        continue;
+      }
+      for (ZoneId zone : type.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Offer offer = new Offer(type.id(), zone, spot);
+          if (!need.allows(type.id(), spot)
+              || !available(offer)
+              || wanted.getOrDefault(offer, 0) >= CloudCodec.MOST_RENTED) {
+            continue;
+          }
+          double cost = type.price(spot) / fit * (1 + 0.001 * machinesIn(zone, wanted));
+          if (cost < bestCost) {
+            best = offer;
+            bestCost = cost;
+          }
+        }
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private boolean available(Offer offer) {
+    SteadyTime until = refusedUntil.get(offer);
+    return until == null || !until.isAfter(loop.now());
+  }
+
+  private int machinesIn(ZoneId zone, Map<Offer, Integer> wanted) {
+    int count = 0;
+    for (LeaderBlock block : leader.blocks().values()) {
+      count += block.zone().equals(zone) ? block.machines().size() : 0;
+    }
+    for (Map.Entry<Offer, Integer> entry : wanted.entrySet()) {
+      count += entry.getKey().zone().equals(zone) ? entry.getValue() : 0;
+    }
+    return count;
+  }
+
+  private void rent(Offer offer, int count) {
+    String name = "r-" + term + "-" + ++names;
+    Rental rental =
+        new Rental(
+            name,
+            offer.type(),
+            offer.zone(),
+            offer.spot(),
+            count,
+            loop.now(),
+            Rental.State.PLANNED);
+    rentals.put(name, rental);
+    leader.journal().submit(Keys.rental(name), new RentalUnit(rental));
+  }
+
+  private void ask(Rental rental) {
+    if (!leader.leading() || rental.state() != Rental.State.ASKED) {
+      return;
+    }
+    if (!around.certain().getAsBoolean() || !cloud.budget().take(1, 0)) {
+      loop.after(RETRY, () -> ask(rental));
+      return;
+    }
+    cloud
+        .calls()
+        .call(
+            cloud.address(),
+            HttpRequest.post(
+                CloudCodec.RENTALS,
+                CloudCodec.rent(
+                    rental.name(), rental.type(), rental.zone(), rental.spot(), rental.count()),
+                DEADLINE),
+            reply -> answered(rental, reply));
+  }
+
+  private void answered(Rental rental, HttpReply reply) {
+    if (!leader.leading()) {
+      return;
+    }
+    if (reply.ok()) {
+      try {
+        rented(rental, CloudCodec.parseRented(reply.body()));
+        return;
+      } catch (BadMessage e) {
+        LOG.warn("answer to rental {}: {}", rental.name(), e.getMessage());
+      }
+    }
+    if (reply.status() == 400 || (reply.status() == 503 && reply.body().contains("no capacity"))) {
+      LOG.info("rental {} of {} in {} refused", rental.name(), rental.type(), rental.zone());
+      refused(rental);
+      end(rental);
+      return;
+    }
+    // No clear answer: the cloud may have rented. The same name asks again.
+    loop.after(RETRY, () -> ask(rental));
+  }
+
+  private void refused(Rental rental) {
+    refusedUntil.put(
+        new Offer(rental.type(), rental.zone(), rental.spot()),
+        loop.now().plus(around.tunables().seconds(Tunables.Key.REFUSED_PAUSE_S)));
+    // What was not given is no room: the next walk may look elsewhere at once.
+    lastResize = Optional.empty();
+  }
+
+  private void rented(Rental rental, List<MachineId> machines) {
+    LOG.info(
+        "rental {}: {} of {} {} in {}",
+        rental.name(),
+        machines.size(),
+        rental.count(),
+        rental.type(),
+        rental.zone());
+    if (machines.size() < rental.count()) {
+      refused(rental);
+    }
+    Set<LeaderBlock> touched = new LinkedHashSet<>();
+    for (MachineId machine : machines) {
+      if (!deleted.contains(machine) && !known(machine)) {
+        LeaderBlock block = blockWithRoom(rental.zone());
+        block.machines().put(machine, new MachineRecord(rental.type(), rental.spot(), false));
+        tracked.put(machine, new Tracked(rental.plannedAt()));
+        touched.add(block);
+      }
+    }
+    touched.forEach(this::store);
+    end(rental);
+  }
+
+  private boolean known(MachineId machine) {
+    return leader.blocks().values().stream()
+        .anyMatch(block -> block.machines().containsKey(machine));
+  }
+
+  private LeaderBlock blockWithRoom(ZoneId zone) {
+    int most = around.tunables().count(Tunables.Key.BLOCK_MACHINES);
+    int number = 0;
+    for (LeaderBlock block : leader.blocks().values()) {
+      if (block.zone().equals(zone)) {
+        if (block.machines().size() < most) {
+          return block;
+        }
+        number++;
+      }
+    }
+    BlockId id = new BlockId(zone + "-" + number);
+    LeaderBlock block = new LeaderBlock(id, zone, loop.now());
+    leader.blocks().put(id, block);
+    return block;
+  }
+
+  /** The rental's key goes only after its machines are stored. */
+  private void end(Rental rental) {
+    rental.moveTo(Rental.State.ANSWERED);
+    leader
+        .journal()
+        .submit(
+            Keys.rental(rental.name()),
+            new LeaderJournal.Unit() {
+              @Override
+              public List<Write> writes() {
+                return List.of(Write.delete(Keys.rental(rental.name())));
+              }
+
+              @Override
+              public void committed(Revision revision) {
+                rentals.remove(rental.name());
+              }
+            });
+  }
+
+  /** Returns machines that are idle, paid for their least time, and of no use to the walk. */
+  private void drain(Set<MachineId> used) {
+    double idle = around.tunables().number(Tunables.Key.IDLE_RETURN_S);
+    double held = around.tunables().number(Tunables.Key.MINIMUM_HELD_S);
+    for (LeaderBlock block : leader.blocks().values()) {
+      for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
+        Tracked known = track(entry.getKey());
+        if (entry.getValue().up()
+            && !used.contains(entry.getKey())
+            && !known.closed
+            && loop.now().secondsSince(known.idleSince) >= idle
+            && loop.now().secondsSince(known.rentedAt) >= held
+            && !busy(entry.getKey(), block)) {
+          giveUp(entry.getKey(), "is idle");
+        }
+      }
+    }
+  }
+
+  private boolean busy(MachineId machine, LeaderBlock block) {
+    for (Job job : leader.jobs().values()) {
+      for (Delegation delegation : job.delegations()) {
+        boolean here =
+            delegation.machine().map(machine::equals).orElse(delegation.block().equals(block.id()));
+        if (here && delegation.state() != Delegation.State.ENDED) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  private void listRegularly() {
+    if (!leader.leading()) {
+      return;
+    }
+    loop.after(LIST_EVERY, this::listRegularly);
+    if (around.certain().getAsBoolean()) {
+      list(Optional.empty());
+    }
+  }
+
+  private void list(Optional<MachineId> after) {
+    if (!cloud.budget().take(1, 1)) {
+      return;
+    }
+    cloud
+        .calls()
+        .call(
+            cloud.address(),
+            HttpRequest.get(CloudCodec.listPath(after), DEADLINE),
+            reply -> {
+              if (!reply.ok() || !leader.leading()) {
+                return;
+              }
+              try {
+                CloudCodec.Page page = CloudCodec.parseList(reply.body());
+                page.machines().forEach(this::listed);
+                if (page.more() && !page.machines().isEmpty()) {
+                  list(Optional.of(page.machines().get(page.machines().size() - 1).id()));
+                }
+              } catch (BadMessage e) {
+                LOG.warn("machine list: {}", e.getMessage());
+              }
+            });
+  }
+
+  private void listed(CloudMachine machine) {
+    if (deleted.contains(machine.id()) || deleting.contains(machine.id())) {
+      return;
+    }
+    if (machine.phase() == CloudMachine.Phase.FAILED) {
+      giveUp(machine.id(), "has failed");
+    } else if (!known(machine.id())) {
+      adopt(machine.id(), machine.type(), machine.zone(), machine.spot());
+    }
+  }
+
+  void onStranger(StrangerReport report) {
+    MachineId id = new MachineId(report.getMachine());
+    if (!known(id) && !deleted.contains(id) && !deleting.contains(id)) {
+      adopt(
+          id,
+          new MachineTypeId(report.getMachineType()),
+          new ZoneId(report.getZone()),
+          report.getSpot());
+    }
+  }
+
+  /** Machines that nobody expected are used: a late rental, or one whose answer was lost. */
+  private void adopt(MachineId id, MachineTypeId type, ZoneId zone, boolean spot) {
+    if (around.catalog().type(type).isEmpty()) {
+      return;
+    }
+    LOG.info("adopting {}", id);
+    LeaderBlock block = blockWithRoom(zone);
+    block.machines().put(id, new MachineRecord(type, spot, false));
+    track(id);
+    store(block);
+  }
+
+  /** A block's machines. */
+  private final class BlockUnit implements LeaderJournal.Unit {
+    private final LeaderBlock block;
+
+    BlockUnit(LeaderBlock block) {
+      this.block = block;
+    }
+
+    @Override
+    public List<Write> writes() {
+      return List.of(
+          Write.put(Keys.block(block.id()), BlockRecord.write(block.zone(), block.machines())));
+    }
+
+    @Override
+    public void committed(Revision revision) {
+      leader.touch(block.id());
+      leader.cycleSoon();
+    }
+  }
+
+  /** A rental's name, stored before the cloud hears it. */
+  private final class RentalUnit implements LeaderJournal.Unit {
+    private final Rental rental;
+
+    RentalUnit(Rental rental) {
+      this.rental = rental;
+    }
+
+    @Override
+    public List<Write> writes() {
+      return rental.state() == Rental.State.PLANNED
+          ? List.of(Write.put(Keys.rental(rental.name()), rental.write()))
+          : List.of();
+    }
+
+    @Override
+    public void committed(Revision revision) {
+      rental.moveTo(Rental.State.ASKED);
+      ask(rental);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -0,0 +1,319 @@
+package org.mulleinshift.coordination;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.Consumer;
+import org.mulleinshift.bookkeeping.JobRecord;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.StateStore;
+import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.bookkeeping.StateStore.Outcome;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.JobCodec;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobKind;
+import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.protocol.JobSpec;
+import org.mulleinshift.protocol.Json;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Guard;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.protocol.peer.JobCount;
+import org.mulleinshift.protocol.peer.JobDigest;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.Responder;
+
+/**
+ * The users' requests, at any node. An acceptance or a cancellation is stored before it is told. An
+ * answer that can still change is read from the store at the time of the question; in doubt the
+ * answer is 503.
+ */
+final class Frontend {
+  private static final int REMEMBERED_ENDS = 20_000;
+  private static final int CANCEL_TRIES = 4;
+
+  /** What is certain about a job. */
+  private sealed interface Standing {
+    record Active(JobRecord job) implements Standing {}
+
+    record Ended(JobPhase phase) implements Standing {}
+
+    record Never() implements Standing {}
+
+    record Unknown() implements Standing {}
+  }
+
+  private final EventLoop loop;
+  private final StateStore store;
+  private final Catalog catalog;
+  private final Map<String, PlatformSettings.Team> teams = new LinkedHashMap<>();
+  private final int valueBytes;
+  private final int retryAfter;
+  private final Consumer<JobId> onCancelled;
+  private final Map<JobId, JobPhase> ended =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobId, JobPhase> eldest) {
+          return size() > REMEMBERED_ENDS;
+        }
+      };
+  private Map<String, JobCount> counts = Map.of();
+
+  Frontend(
+      EventLoop loop,
+      StateStore store,
+      Catalog catalog,
+      PlatformSettings.Cluster cluster,
+      int retryAfter,
+      Consumer<JobId> onCancelled) {
+    this.loop = loop;
+    this.store = store;
+    this.catalog = catalog;
+    this.valueBytes = cluster.state().valueBytes();
+    this.retryAfter = retryAfter;
+    this.onCancelled = onCancelled;
+    cluster.teams().forEach(team -> teams.put(team.name(), team));
+  }
+
+  void onDigest(JobDigest digest) {
+    Map<String, JobCount> next = new LinkedHashMap<>();
+    digest.getCounts().forEach(count -> next.put(count.getJob(), count));
+    counts = next;
+  }
+
+  void submit(String body, Responder responder) {
+    JobSpec spec;
+    try {
+      spec = JobCodec.parse(body);
+    } catch (BadMessage e) {
+      refuseUnlessKnown(body, 400, e.getMessage(), responder);
+      return;
+    }
+    if (!catalog.known()) {
+      unavailable(responder);
+      return;
+    }
+    Optional<String> impossible = impossible(spec);
+    if (impossible.isPresent()) {
+      refuseUnlessKnown(body, 422, impossible.get(), responder);
+      return;
+    }
+    accept(spec, responder);
+  }
+
+  private Optional<String> impossible(JobSpec spec) {
+    PlatformSettings.Team team = teams.get(spec.team().value());
+    if (team == null) {
+      return Optional.of("unknown team");
+    }
+    boolean fits =
+        catalog.types().values().stream()
+            .anyMatch(type -> spec.allowsType(type.id()) && spec.perTask().fitsInto(type.size()));
+    if (!fits) {
+      return Optional.of("a task fits no allowed machine type");
+    }
+    int atOnce = spec.kind() == JobKind.SERVICE ? spec.tasks() : 1;
+    boolean over =
+        (team.cpusMax() > 0 && spec.perTask().cpus() * atOnce > team.cpusMax() + 1e-6)
+            || (team.gpusMax() > 0 && spec.perTask().gpus() * atOnce > team.gpusMax() + 1e-6);
+    return over ? Optional.of("more than the team's limit") : Optional.empty();
+  }
+
+  /** The outcome of an accepted job wins over a changed retry. */
+  private void refuseUnlessKnown(String body, int status, String why, Responder responder) {
+    Optional<JobId> id = jobIdOf(body);
+    if (id.isEmpty()) {
+      responder.respond(status, JobCodec.error(why));
+      return;
+    }
+    lookUp(
+        id.get(),
+        standing -> {
+          if (standing instanceof Standing.Never) {
+            responder.respond(status, JobCodec.error(why));
+          } else {
+            answer(id.get(), standing, responder);
+          }
+        });
+  }
+
+  private static Optional<JobId> jobIdOf(String body) {
+    try {
+      String id = Json.parseObject(body).path("ref").asText("");
+      return JobCodec.isJobId(id) ? Optional.of(new JobId(id)) : Optional.empty();
+    } catch (BadMessage e) {
+      return Optional.empty();
+    }
+  }
+
+  private void accept(JobSpec spec, Responder responder) {
+    JobPhase known = ended.get(spec.id());
+    if (known != null) {
+      respond(spec.id(), 200, known, responder);
+      return;
+    }
+    var value = JobRecord.value(spec, loop.wallMillis(), false);
+    if (value.toString().length() > valueBytes) {
+      responder.respond(400, JobCodec.error("job too long"));
+      return;
+    }
+    store.commit(
+        List.of(
+            new Guard(Keys.active(spec.id()), new Revision(0)),
+            new Guard(Keys.ended(spec.id()), new Revision(0))),
+        List.of(Write.put(Keys.active(spec.id()), value)),
+        StateStore.Urgency.NORMAL,
+        outcome -> {
+          if (outcome instanceof Outcome.Committed) {
+            respond(spec.id(), 201, JobPhase.PENDING, responder);
+          } else if (outcome instanceof Outcome.Conflict) {
+            lookUp(spec.id(), standing -> answer(spec.id(), standing, responder));
+          } else {
+            // Given up on at once; the same id makes the user's retry harmless.
+            unavailable(responder);
+          }
+        });
+  }
+
+  void poll(JobId id, Responder responder) {
+    if (!JobCodec.isJobId(id.value())) {
+      responder.respond(404, JobCodec.error("no such job"));
+      return;
+    }
+    lookUp(
+        id,
+        standing -> {
+          if (standing instanceof Standing.Never) {
+            responder.respond(404, JobCodec.error("no such job"));
+          } else {
+            answer(id, standing, responder);
+          }
+        });
+  }
+
+  void withdraw(JobId id, Responder responder) {
+    if (!JobCodec.isJobId(id.value())) {
+      responder.respond(404, JobCodec.error("no such job"));
+      return;
+    }
+    withdraw(id, CANCEL_TRIES, responder);
+  }
+
+  private void withdraw(JobId id, int tries, Responder responder) {
+    if (tries == 0) {
+      unavailable(responder);
+      return;
+    }
+    lookUp(
+        id,
+        standing -> {
+          if (standing instanceof Standing.Active active && !active.job().cancelled()) {
+            cancel(active.job(), tries, responder);
+          } else if (standing instanceof Standing.Never) {
+            responder.respond(404, JobCodec.error("no such job"));
+          } else {
+            answer(id, standing, responder);
+          }
+        });
+  }
+
+  private void cancel(JobRecord job, int tries, Responder responder) {
+    store.commit(
+        List.of(new Guard(Keys.active(job.id()), job.version())),
+        List.of(
+            Write.put(
+                Keys.active(job.id()), JobRecord.value(job.spec(), job.acceptedMillis(), true))),
+        StateStore.Urgency.NORMAL,
+        outcome -> {
+          if (outcome instanceof Outcome.Committed) {
+            ended.put(job.id(), JobPhase.CANCELLED);
+            onCancelled.accept(job.id());
+            respond(job.id(), 200, JobPhase.CANCELLED, responder);
+          } else if (outcome instanceof Outcome.Conflict) {
+            withdraw(job.id(), tries - 1, responder);
+          } else {
+            unavailable(responder);
+          }
+        });
+  }
+
+  /** A job only ever moves from active to ended, so this order of reading cannot miss it. */
+  private void lookUp(JobId id, Consumer<Standing> then) {
+    JobPhase known = ended.get(id);
+    if (known != null) {
+      then.accept(new Standing.Ended(known));
+      return;
+    }
+    store.get(
+        Keys.active(id),
+        StateStore.Urgency.NORMAL,
+        active -> {
+          if (active instanceof Answer.Found<Item> found) {
+            then.accept(
+                JobRecord.read(found.value())
+                    .<Standing>map(Standing.Active::new)
+                    .orElse(new Standing.Unknown()));
+          } else if (active instanceof Answer.Absent<Item>) {
+            lookUpEnded(id, then);
+          } else {
+            then.accept(new Standing.Unknown());
+          }
+        });
+  }
+
+  private void lookUpEnded(JobId id, Consumer<Standing> then) {
+    store.get(
+        Keys.ended(id),
+        StateStore.Urgency.NORMAL,
+        answer -> {
+          if (answer instanceof Answer.Found<Item> found) {
+            JobPhase phase = JobRecord.endedPhase(found.value());
+            ended.put(id, phase);
+            then.accept(new Standing.Ended(phase));
+          } else if (answer instanceof Answer.Absent<Item>) {
+            then.accept(new Standing.Never());
+          } else {
+            then.accept(new Standing.Unknown());
+          }
+        });
+  }
+
+  private void answer(JobId id, Standing standing, Responder responder) {
+    if (standing instanceof Standing.Active active) {
+      if (active.job().cancelled()) {
+        ended.put(id, JobPhase.CANCELLED);
+        respond(id, 200, JobPhase.CANCELLED, responder);
+      } else {
+        JobCount count = counts.get(id.value());
+        boolean running = count != null && count.getRunning() > 0;
+        respond(id, 200, running ? JobPhase.RUNNING : JobPhase.PENDING, responder);
+      }
+    } else if (standing instanceof Standing.Ended end) {
+      respond(id, 200, end.phase(), responder);
+    } else {
+      unavailable(responder);
+    }
+  }
+
+  private void respond(JobId id, int status, JobPhase phase, Responder responder) {
+    JobCount count = phase.terminal() ? null : counts.get(id.value());
+    responder.respond(
+        status,
+        JobCodec.view(
+            id,
+            phase,
+            count == null ? OptionalInt.empty() : OptionalInt.of(count.getDone()),
+            count == null ? OptionalInt.empty() : OptionalInt.of(count.getRunning())));
+  }
+
+  private void unavailable(Responder responder) {
+    responder.respondLater(503, JobCodec.error("try again"), retryAfter);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/HeldTask.java
@@ -0,0 +1,111 @@
+package org.mulleinshift.coordination;
+
+import java.util.Optional;
+import org.mulleinshift.protocol.Attempt;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.TaskId;
+import org.mulleinshift.transport.SteadyTime;
+
+/** A task that the leader delegated to a block, at the block's holder. */
+final class HeldTask {
+  private final TaskId task;
+  private final Attempt attempt;
+  private final PlacementNeed need;
+  private final double saveSeconds;
+  private final int rank;
+  private final boolean fresh;
+  private TaskPhase phase = TaskPhase.NEW;
+  private Optional<MachineId> machine = Optional.empty();
+  private Optional<SteadyTime> runningSince = Optional.empty();
+  private long ranMillis;
+  private boolean stop;
+
+  HeldTask(
+      TaskId task,
+      Attempt attempt,
+      PlacementNeed need,
+      double saveSeconds,
+      int rank,
+      boolean fresh) {
+    this.task = task;
+    this.attempt = attempt;
+    this.need = need;
+    this.saveSeconds = saveSeconds;
+    this.rank = rank;
+    this.fresh = fresh;
+  }
+
+  /** The only place where the phase changes; a final phase stays. */
+  void moveTo(TaskPhase next, MachineId where, SteadyTime now) {
+    if (phase.isFinal()) {
+      return;
+    }
+    if (where != null) {
+      machine = Optional.of(where);
+    }
+    if (next == TaskPhase.RUNNING && runningSince.isEmpty()) {
+      runningSince = Optional.of(now);
+    }
+    if (next.isFinal()) {
+      ranMillis = runningSince.map(since -> now.since(since).toMillis()).orElse(0L);
+    }
+    phase = next;
+  }
+
+  /** On a machine, or possibly so. */
+  boolean bound() {
+    return machine.isPresent() && phase != TaskPhase.NEW && !phase.isFinal();
+  }
+
+  boolean boundTo(MachineId where) {
+    return bound() && machine.get().equals(where);
+  }
+
+  void requestStop() {
+    stop = true;
+  }
+
+  boolean stopRequested() {
+    return stop;
+  }
+
+  TaskId task() {
+    return task;
+  }
+
+  Attempt attempt() {
+    return attempt;
+  }
+
+  PlacementNeed need() {
+    return need;
+  }
+
+  double saveSeconds() {
+    return saveSeconds;
+  }
+
+  int rank() {
+    return rank;
+  }
+
+  /** Delegated under this very grant: no earlier holder can have placed it. */
+  boolean fresh() {
+    return fresh;
+  }
+
+  TaskPhase phase() {
+    return phase;
+  }
+
+  Optional<MachineId> machine() {
+    return machine;
+  }
+
+  long ranMillis(SteadyTime now) {
+    if (phase.isFinal()) {
+      return ranMillis;
+    }
+    return runningSince.map(since -> now.since(since).toMillis()).orElse(0L);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/HolderDesk.java
@@ -0,0 +1,171 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.mulleinshift.bookkeeping.ControlView;
+import org.mulleinshift.bookkeeping.ControlView.GrantRecord;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.BlockId;
+import org.mulleinshift.protocol.JobCodec;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.WorkerCodec;
+import org.mulleinshift.protocol.WorkerReport;
+import org.mulleinshift.protocol.peer.Assignment;
+import org.mulleinshift.protocol.peer.StrangerReport;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.Responder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The blocks that this node holds; sends workers of other blocks to their holders. */
+final class HolderDesk {
+  private static final Logger LOG = LoggerFactory.getLogger(HolderDesk.class);
+  private static final Duration TICK = Duration.ofMillis(250);
+  private static final Duration REPORT_SPACING = Duration.ofMillis(60);
+  private static final Duration REPORT_AT_LEAST = Duration.ofSeconds(1);
+
+  private final EventLoop loop;
+  private final NodeId self;
+  private final ControlView view;
+  private final Session session;
+  private final BlockHolder.Surroundings around;
+  private final Consumer<Object> toLeader;
+  private final Map<BlockId, BlockHolder> held = new HashMap<>();
+  private boolean reportPlanned;
+  private long badReports;
+
+  HolderDesk(
+      NodeId self,
+      ControlView view,
+      Session session,
+      BlockHolder.Surroundings around,
+      Consumer<Object> toLeader) {
+    this.loop = around.loop();
+    this.self = self;
+    this.view = view;
+    this.session = session;
+    this.around = around;
+    this.toLeader = toLeader;
+  }
+
+  void start() {
+    loop.after(TICK, this::tick);
+    loop.after(REPORT_AT_LEAST, this::reportRegularly);
+  }
+
+  private void tick() {
+    loop.after(TICK, this::tick);
+    held.values().forEach(BlockHolder::tick);
+  }
+
+  private void reportRegularly() {
+    loop.after(REPORT_AT_LEAST, this::reportRegularly);
+    sendReports();
+  }
+
+  /** Something that the leader should know; several changes share a report. */
+  void reportSoon() {
+    if (!reportPlanned) {
+      reportPlanned = true;
+      loop.after(
+          REPORT_SPACING,
+          () -> {
+            reportPlanned = false;
+            sendReports();
+          });
+    }
+  }
+
+  private void sendReports() {
+    held.values().forEach(holder -> toLeader.accept(holder.report()));
+  }
+
+  /** Takes up and gives up blocks as the store says. */
+  void onControlChange() {
+    Map<BlockId, Revision> verified = session.grants();
+    held.entrySet()
+        .removeIf(
+            entry -> {
+              boolean lost = !entry.getValue().grant().equals(verified.get(entry.getKey()));
+              if (lost) {
+                LOG.info("block {} given up", entry.getKey());
+              }
+              return lost;
+            });
+    for (Map.Entry<BlockId, GrantRecord> entry : view.grants().entrySet()) {
+      BlockId block = entry.getKey();
+      GrantRecord grant = entry.getValue();
+      // Both the reading and the watch must show the grant: the watch then also shows the block's
+      // machines as of the grant or later.
+      if (grant.holder().equals(self)
+          && grant.revision().equals(verified.get(block))
+          && !held.containsKey(block)) {
+        LOG.info("block {} taken, grant {}", block, grant.revision());
+        Revision revision = grant.revision();
+        held.put(
+            block,
+            new BlockHolder(around, block, revision, () -> session.entitled(block, revision)));
+      }
+    }
+    held.forEach(
+        (block, holder) ->
+            Optional.ofNullable(view.blocks().get(block)).ifPresent(holder::onRecord));
+  }
+
+  void onAssignment(Assignment assignment) {
+    BlockHolder holder = held.get(new BlockId(assignment.getBlock()));
+    if (holder != null) {
+      holder.onAssignment(assignment);
+    }
+  }
+
+  void onCancelled(JobId job) {
+    held.values().forEach(holder -> holder.onCancelled(job));
+  }
+
+  void checkin(String body, Responder responder) {
+    WorkerReport report;
+    try {
+      report = WorkerCodec.parseReport(body);
+    } catch (BadMessage e) {
+      if (badReports++ % 100 == 0) {
+        LOG.warn("malformed report: {}", e.getMessage());
+      }
+      responder.respond(400, JobCodec.error(e.getMessage()));
+      return;
+    }
+    Optional<BlockId> block = view.blockOf(report.machine());
+    if (block.isEmpty()) {
+      toLeader.accept(
+          new StrangerReport(
+              report.machine().value(),
+              report.address(),
+              report.type().value(),
+              report.zone().value(),
+              report.spot()));
+      responder.respond(421, "{}");
+      return;
+    }
+    BlockHolder holder = held.get(block.get());
+    if (holder != null) {
+      Optional<String> answer = holder.onReport(report);
+      if (answer.isPresent()) {
+        responder.respond(200, answer.get());
+      } else {
+        responder.respond(503, JobCodec.error("not entitled"));
+      }
+      return;
+    }
+    GrantRecord grant = view.grants().get(block.get());
+    if (grant != null && !grant.holder().equals(self)) {
+      responder.respond(421, WorkerCodec.redirect(grant.holder()));
+    } else {
+      responder.respond(421, "{}");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -0,0 +1,835 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import org.mulleinshift.bookkeeping.ControlView;
+import org.mulleinshift.bookkeeping.Delegation;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.bookkeeping.JobRecord;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.LeaderJournal;
+import org.mulleinshift.bookkeeping.StateStore;
+import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.protocol.Attempt;
+import org.mulleinshift.protocol.BlockId;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.MachineType;
+import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.protocol.Resources;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.protocol.TeamId;
+import org.mulleinshift.protocol.ZoneId;
+import org.mulleinshift.protocol.peer.AssignedJob;
+import org.mulleinshift.protocol.peer.AssignedTask;
+import org.mulleinshift.protocol.peer.Assignment;
+import org.mulleinshift.protocol.peer.BlockReport;
+import org.mulleinshift.protocol.peer.JobCount;
+import org.mulleinshift.protocol.peer.JobDigest;
+import org.mulleinshift.protocol.peer.MachineReport;
+import org.mulleinshift.protocol.peer.StrangerReport;
+import org.mulleinshift.protocol.peer.TaskReport;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.settings.Tunables;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.SteadyTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One term of leadership: decides which tasks go to which block, within quotas, zones and spread,
+ * and stores that before anybody acts on it. A new leader starts from what is stored.
+ */
+final class Leader {
+  private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+  private static final Duration RETRY = Duration.ofMillis(400);
+  private static final Duration UPKEEP = Duration.ofMillis(500);
+  private static final Duration DIGEST = Duration.ofSeconds(1);
+  private static final int ATTEMPT_BITS = 20;
+
+  /** States of a term. */
+  enum State {
+    LOADING,
+    LEADING,
+    RETIRED
+  }
+
+  /** What the leader needs of its node. */
+  record Surroundings(
+      EventLoop loop,
+      StateStore store,
+      PlatformSettings settings,
+      Tunables tunables,
+      NodeId self,
+      ControlView view,
+      Catalog catalog,
+      RunTimes runTimes,
+      Function<NodeId, Duration> peerSilence,
+      BiConsumer<NodeId, Object> send,
+      BooleanSupplier certain,
+      Runnable resign) {}
+
+  private final Surroundings around;
+  private final EventLoop loop;
+  private final Revision term;
+  private final LeaderJournal journal;
+  private final Map<JobId, Job> jobs = new TreeMap<>();
+  private final Map<BlockId, LeaderBlock> blocks = new TreeMap<>();
+  private final Map<String, PlatformSettings.Team> teams = new HashMap<>();
+  private final Map<MachineId, Integer> failuresInRow = new HashMap<>();
+  private final Fleet fleet;
+  private final SteadyTime startedAt;
+  private State state = State.LOADING;
+  private Revision loadedAt = new Revision(0);
+  private SteadyTime lastCycle;
+  private boolean cyclePlanned;
+  private boolean sendPlanned;
+  private long attempts;
+
+  Leader(Surroundings around, Fleet.Cloud cloud, Revision term) {
+    this.around = around;
+    this.loop = around.loop();
+    this.term = term;
+    this.startedAt = loop.now();
+    this.lastCycle = startedAt;
+    this.journal =
+        new LeaderJournal(
+            loop,
+            around.store(),
+            term,
+            around.settings().cluster().state().txnOps(),
+            around.resign());
+    around.settings().cluster().teams().forEach(team -> teams.put(team.name(), team));
+    this.fleet = new Fleet(this, around, cloud, term);
+  }
+
+  /** The only place where the state changes. */
+  private void moveTo(State next) {
+    LOG.info("term {}: {} -> {}", term, state, next);
+    state = next;
+  }
+
+  void start() {
+    load(Keys.ACTIVE, this::loadJobs);
+  }
+
+  void retire() {
+    moveTo(State.RETIRED);
+    journal.close();
+  }
+
+  private void load(String prefix, java.util.function.Consumer<StateCodec.Range> then) {
+    around
+        .store()
+        .range(
+            prefix,
+            answer -> {
+              if (state != State.LOADING) {
+                return;
+              }
+              if (answer instanceof Answer.Found<StateCodec.Range> found) {
+                then.accept(found.value());
+              } else {
+                loop.after(RETRY, () -> load(prefix, then));
+              }
+            });
+  }
+
+  private void loadJobs(StateCodec.Range range) {
+    loadedAt = range.revision();
+    for (Item item : range.items()) {
+      JobRecord.read(item).ifPresent(record -> jobs.put(record.id(), new Job(record)));
+    }
+    awaitControlView();
+  }
+
+  /** The view must show our own term: then it shows all that earlier leaders wrote. */
+  private void awaitControlView() {
+    if (state != State.LOADING) {
+      return;
+    }
+    boolean current =
+        around.view().leader().filter(leader -> leader.term().equals(term)).isPresent();
+    if (!current || !around.catalog().known()) {
+      loop.after(Duration.ofMillis(50), this::awaitControlView);
+      return;
+    }
+    around.view().blocks().forEach(this::adoptBlock);
+    load(Keys.PROGRESS, this::loadProgress);
+  }
+
+  private void adoptBlock(BlockId id, ControlView.BlockRecord record) {
+    LeaderBlock block = new LeaderBlock(id, record.zone(), loop.now());
+    block.machines().putAll(record.machines());
+    blocks.put(id, block);
+    journal.known(Keys.block(id), record.version());
+  }
+
+  private void loadProgress(StateCodec.Range range) {
+    for (Item item : range.items()) {
+      String[] parts = item.key().substring(Keys.PROGRESS.length()).split("/");
+      Job job = jobs.get(new JobId(parts[0]));
+      journal.known(item.key(), item.version());
+      if (job == null) {
+        String key = item.key();
+        journal.submit(key, new DeleteUnit(key));
+      } else {
+        job.load(Integer.parseInt(parts[1]), item.value(), this::zoneOf);
+      }
+    }
+    load(Keys.RENTALS, this::begin);
+  }
+
+  private ZoneId zoneOf(BlockId block) {
+    LeaderBlock found = blocks.get(block);
+    return found != null ? found.zone() : new ZoneId(block.value());
+  }
+
+  private void begin(StateCodec.Range rentals) {
+    fleet.load(rentals.items(), journal);
+    moveTo(State.LEADING);
+    onControlChange();
+    jobs.values().forEach(this::settle);
+    upkeep();
+    sendDigest();
+    fleet.start();
+    cycleSoon();
+  }
+
+  boolean leading() {
+    return state == State.LEADING;
+  }
+
+  LeaderJournal journal() {
+    return journal;
+  }
+
+  Map<BlockId, LeaderBlock> blocks() {
+    return blocks;
+  }
+
+  Map<JobId, Job> jobs() {
+    return jobs;
+  }
+
+  /** A change of an active job in the store, as the watch brings it. */
+  void onJob(JobRecord record) {
+    if (state != State.LEADING || record.version().compareTo(loadedAt) <= 0) {
+      return;
+    }
+    Job job = jobs.get(record.id());
+    if (job == null) {
+      jobs.put(record.id(), new Job(record));
+    } else if (record.version().compareTo(job.version()) > 0) {
+      job.update(record);
+      settle(job);
+    }
+    cycleSoon();
+  }
+
+  void onControlChange() {
+    if (state != State.LEADING) {
+      return;
+    }
+    for (LeaderBlock block : blocks.values()) {
+      ControlView.GrantRecord seen = around.view().grants().get(block.id());
+      block.grant(
+          Optional.ofNullable(seen)
+              .map(grant -> new LeaderBlock.Grant(grant.holder(), grant.revision())));
+      if (seen == null) {
+        journal.forgotten(Keys.grant(block.id()));
+      } else {
+        journal.known(Keys.grant(block.id()), seen.revision());
+      }
+    }
+    assignBlocks();
+    sendSoon();
+  }
+
+  void onBlockReport(BlockReport report) {
+    if (state != State.LEADING) {
+      return;
+    }
+    LeaderBlock block = blocks.get(new BlockId(report.getBlock()));
+    if (block == null
+        || block.grant().filter(g -> g.revision().value() == report.getGrant()).isEmpty()
+        || block
+            .lastReport()
+            .filter(last -> last.getSequence() >= report.getSequence())
+            .isPresent()) {
+      return;
+    }
+    block.reported(report, loop.now());
+    for (TaskReport task : report.getTasks()) {
+      onTask(task);
+    }
+    fleet.onReport(block);
+    cycleSoon();
+  }
+
+  void onStranger(StrangerReport report) {
+    if (state == State.LEADING) {
+      fleet.onStranger(report);
+    }
+  }
+
+  private void onTask(TaskReport report) {
+    Job job = jobs.get(new JobId(report.getJob()));
+    Delegation delegation = job == null ? null : job.delegation(report.getIndex()).orElse(null);
+    if (delegation == null
+        || delegation.attempt().value() != report.getAttempt()
+        || delegation.state() == Delegation.State.ENDED) {
+      return;
+    }
+    MachineId machine = new MachineId(report.getMachine());
+    SteadyTime since = loop.now().minus(Duration.ofMillis(report.getRanMs()));
+    switch (TaskPhase.valueOf(report.getPhase())) {
+      case NEW -> delegation.unplaced();
+      case STARTING, FETCHING -> delegation.placed(machine);
+      case RUNNING, SAVING -> delegation.running(machine, since);
+      case DONE -> {
+        failuresInRow.remove(machine);
+        double seconds = report.getRanMs() / 1000.0;
+        around.runTimes().finished(job.spec(), seconds);
+        job.taskDone(delegation, seconds);
+        changed(job, report.getIndex());
+      }
+      case FAILED -> {
+        failuresInRow.merge(machine, 1, Integer::sum);
+        job.countFailure();
+        // Spaced out, so that a job that fails everywhere does not keep the fleet busy.
+        double pause =
+            around.tunables().number(Tunables.Key.ERROR_PAUSE_S)
+                * Math.min(12, Math.max(1, job.failures() / (double) job.spec().tasks()));
+        returned(job, delegation, Optional.of(loop.now().plusMillis((long) (pause * 1000))));
+      }
+      case REJECTED -> returned(job, delegation, Optional.of(loop.now().plusMillis(500)));
+      case STOPPED, LOST -> returned(job, delegation, Optional.empty());
+    }
+  }
+
+  private void returned(Job job, Delegation delegation, Optional<SteadyTime> notBefore) {
+    job.taskReturned(delegation, notBefore);
+    changed(job, delegation.task().index());
+  }
+
+  boolean faulty(MachineId machine) {
+    return failuresInRow.getOrDefault(machine, 0)
+        >= around.tunables().count(Tunables.Key.FAULTY_AFTER);
+  }
+
+  private void changed(Job job, int index) {
+    int chunk = Job.chunkOf(index);
+    journal.submit(Keys.progress(job.spec().id(), chunk), new ChunkUnit(job, chunk));
+    settle(job);
+  }
+
+  /** Ends the job if nothing is left of it; stops its tasks if it was cancelled. */
+  private void settle(Job job) {
+    if (job.state() == Job.State.CANCELLING) {
+      for (Delegation delegation : job.delegations()) {
+        if (!delegation.stopRequested()) {
+          delegation.requestStop();
+          touch(delegation.block());
+        }
+      }
+    }
+    boolean over = job.state() == Job.State.ACTIVE ? job.complete() : job.gone();
+    if (over) {
+      journal.known(Keys.active(job.spec().id()), job.version());
+      journal.submit(Keys.ended(job.spec().id()), new EndUnit(job));
+      job.beginEnd();
+    }
+  }
+
+  void touch(BlockId block) {
+    LeaderBlock found = blocks.get(block);
+    if (found != null) {
+      found.changed();
+      sendSoon();
+    }
+  }
+
+  private void upkeep() {
+    if (state != State.LEADING) {
+      return;
+    }
+    loop.after(UPKEEP, this::upkeep);
+    assignBlocks();
+    sendAssignments(true);
+    cycleSoon();
+  }
+
+  /** Grants blocks whose holder is gone or silent to a live controller, near ones first. */
+  private void assignBlocks() {
+    List<NodeId> live = new ArrayList<>();
+    Duration limit = around.tunables().seconds(Tunables.Key.PEER_SILENT_S);
+    boolean early = loop.now().since(startedAt).compareTo(limit) < 0;
+    for (NodeId node : around.view().nodes().keySet()) {
+      boolean silent = !early && around.peerSilence().apply(node).compareTo(limit) > 0;
+      if (node.equals(around.self()) || !silent) {
+        live.add(node);
+      }
+    }
+    for (LeaderBlock block : blocks.values()) {
+      boolean held = block.grant().filter(grant -> live.contains(grant.holder())).isPresent();
+      String key = Keys.grant(block.id());
+      if (!held && !live.isEmpty() && !journal.pending(key)) {
+        NodeId best = live.stream().min(Comparator.comparingInt(n -> load(n, block))).get();
+        LOG.info("granting {} to {}", block.id(), best);
+        journal.submit(key, new GrantUnit(block, best));
+      }
+    }
+  }
+
+  private int load(NodeId node, LeaderBlock wanted) {
+    int load = node.equals(around.self()) ? 6 : 0;
+    load += zoneOfNode(node).equals(wanted.zone()) ? 0 : 8;
+    for (LeaderBlock block : blocks.values()) {
+      if (block.grant().filter(grant -> grant.holder().equals(node)).isPresent()) {
+        load += 2 + block.machines().size();
+      }
+    }
+    return load;
+  }
+
+  private ZoneId zoneOfNode(NodeId node) {
+    if (node.equals(around.self())) {
+      return new ZoneId(around.settings().zone());
+    }
+    for (PlatformSettings.Member member : around.settings().members()) {
+      if (member.label().equals(node.value())) {
+        return new ZoneId(member.zone());
+      }
+    }
+    return new ZoneId("");
+  }
+
+  private void sendSoon() {
+    if (!sendPlanned) {
+      sendPlanned = true;
+      loop.post(
+          () -> {
+            sendPlanned = false;
+            sendAssignments(false);
+          });
+    }
+  }
+
+  private void sendAssignments(boolean again) {
+    if (state != State.LEADING || !around.certain().getAsBoolean()) {
+      return;
+    }
+    for (LeaderBlock block : blocks.values()) {
+      boolean wanted = block.assignmentDirty() || (again && !block.acknowledged(term.value()));
+      if (wanted && block.grant().isPresent()) {
+        around.send().accept(block.grant().get().holder(), assignmentOf(block));
+      }
+    }
+  }
+
+  private Assignment assignmentOf(LeaderBlock block) {
+    Revision grant = block.grant().get().revision();
+    List<AssignedJob> assigned = new ArrayList<>();
+    int rank = 0;
+    for (Job job : ranked()) {
+      List<AssignedTask> tasks = new ArrayList<>();
+      for (Delegation delegation : job.delegations()) {
+        if (delegation.told() && delegation.block().equals(block.id())) {
+          tasks.add(
+              new AssignedTask(
+                  delegation.task().index(),
+                  delegation.attempt().value(),
+                  delegation.storedAt().compareTo(grant) > 0,
+                  delegation.stopRequested()));
+        }
+      }
+      rank++;
+      if (!tasks.isEmpty()) {
+        PlacementNeed need = PlacementNeed.of(job.spec());
+        assigned.add(
+            new AssignedJob(
+                job.spec().id().value(),
+                need.perTask().cpus(),
+                need.perTask().gpus(),
+                need.perTask().memoryGb(),
+                need.image(),
+                job.spec().checkpointSeconds() > 0 ? job.spec().saveSeconds() : 0,
+                need.types().stream().map(type -> type.value()).toList(),
+                need.spotAllowed(),
+                rank,
+                tasks));
+      }
+    }
+    List<String> closed = new ArrayList<>();
+    block.machines().keySet().stream()
+        .filter(machine -> fleet.closed(machine) || faulty(machine))
+        .forEach(machine -> closed.add(machine.value()));
+    return new Assignment(
+        term.value(), block.id().value(), grant.value(), block.nextVersion(), assigned, closed);
+  }
+
+  void cycleSoon() {
+    if (cyclePlanned || state != State.LEADING) {
+      return;
+    }
+    cyclePlanned = true;
+    Duration spacing = around.tunables().millis(Tunables.Key.CYCLE_MS);
+    Duration since = loop.now().since(lastCycle);
+    Duration wait = since.compareTo(spacing) >= 0 ? Duration.ofMillis(5) : spacing.minus(since);
+    loop.after(
+        wait,
+        () -> {
+          cyclePlanned = false;
+          cycle();
+        });
+  }
+
+  private void cycle() {
+    if (state != State.LEADING) {
+      return;
+    }
+    lastCycle = loop.now();
+    Map<BlockId, List<Room>> rooms = rooms();
+    Map<TeamId, Resources> inUse = teamUse();
+    Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + ++attempts);
+    for (Job job : ranked()) {
+      if (job.state() == Job.State.ACTIVE) {
+        delegate(job, rooms, inUse, attempt);
+      }
+    }
+  }
+
+  private void delegate(
+      Job job, Map<BlockId, List<Room>> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
+    TeamId team = job.spec().team();
+    Resources used = inUse.getOrDefault(team, Resources.ZERO);
+    int allowed = withinLimit(job, used);
+    if (allowed == 0 || job.waitingCount() == 0) {
+      return;
+    }
+    PlacementNeed need = PlacementNeed.of(job.spec());
+    int placed = 0;
+    Set<Integer> chunks = new HashSet<>();
+    for (int index : job.waiting(allowed, loop.now())) {
+      BlockId block = choose(job, need, rooms);
+      if (block == null) {
+        break;
+      }
+      job.delegate(index, block, blocks.get(block).zone(), attempt);
+      chunks.add(Job.chunkOf(index));
+      placed++;
+    }
+    inUse.put(team, used.plus(job.spec().perTask().times(placed)));
+    for (int chunk : chunks) {
+      journal.submit(Keys.progress(job.spec().id(), chunk), new ChunkUnit(job, chunk));
+    }
+  }
+
+  /** How many more tasks the job's team may have out; what is delegated counts as running. */
+  int withinLimit(Job job, Resources used) {
+    PlatformSettings.Team team = teams.get(job.spec().team().value());
+    if (team == null) {
+      return 0;
+    }
+    double big = 1e12;
+    Resources limit =
+        new Resources(
+            team.cpusMax() > 0 ? team.cpusMax() : big,
+            team.gpusMax() > 0 ? team.gpusMax() : big,
+            big);
+    return job.spec().perTask().countIn(limit.minus(used));
+  }
+
+  Map<TeamId, Resources> teamUse() {
+    Map<TeamId, Resources> use = new HashMap<>();
+    for (Job job : jobs.values()) {
+      use.merge(job.spec().team(), job.delegatedResources(), Resources::plus);
+    }
+    return use;
+  }
+
+  /** The block with the best machine for the task among the zones that the job may use now. */
+  private BlockId choose(Job job, PlacementNeed need, Map<BlockId, List<Room>> rooms) {
+    BlockId best = null;
+    Room bestRoom = null;
+    for (Map.Entry<BlockId, List<Room>> entry : rooms.entrySet()) {
+      if (!zoneAllowed(job, blocks.get(entry.getKey()).zone())) {
+        continue;
+      }
+      Optional<Room> room = Placer.choose(need, entry.getValue());
+      if (room.isPresent() && (bestRoom == null || room.get().score(need) < bestRoom.score(need))) {
+        best = entry.getKey();
+        bestRoom = room.get();
+      }
+    }
+    if (bestRoom != null) {
+      bestRoom.take(need);
+    }
+    return best;
+  }
+
+  private static boolean zoneAllowed(Job job, ZoneId zone) {
+    if (!job.spec().allowsZone(zone)) {
+      return false;
+    }
+    if (job.spec().oneZone() && !job.perZone().isEmpty() && job.delegatedIn(zone) == 0) {
+      return false;
+    }
+    int half = (job.spec().tasks() + 1) / 2;
+    return !job.spec().spread() || job.delegatedIn(zone) < half;
+  }
+
+  /** Free room as the holders report it, less what is delegated and not yet placed. */
+  private Map<BlockId, List<Room>> rooms() {
+    Map<BlockId, List<Room>> rooms = new LinkedHashMap<>();
+    for (LeaderBlock block : blocks.values()) {
+      if (block.lastReport().isPresent()) {
+        rooms.put(block.id(), roomsOf(block));
+      }
+    }
+    for (Job job : jobs.values()) {
+      PlacementNeed need = PlacementNeed.of(job.spec());
+      for (Delegation delegation : job.delegations()) {
+        boolean unplaced =
+            delegation.state() == Delegation.State.WRITING
+                || delegation.state() == Delegation.State.LIVE;
+        List<Room> block = rooms.get(delegation.block());
+        if (unplaced && block != null) {
+          Placer.choose(need, block).ifPresent(room -> room.take(need));
+        }
+      }
+    }
+    return rooms;
+  }
+
+  private List<Room> roomsOf(LeaderBlock block) {
+    Map<MachineId, Resources> used = new HashMap<>();
+    for (TaskReport task : block.taskReports()) {
+      Job job = jobs.get(new JobId(task.getJob()));
+      boolean bound = !task.getMachine().isEmpty() && !TaskPhase.valueOf(task.getPhase()).isFinal();
+      if (job != null && bound) {
+        used.merge(new MachineId(task.getMachine()), job.spec().perTask(), Resources::plus);
+      }
+    }
+    List<Room> found = new ArrayList<>();
+    block
+        .machines()
+        .forEach(
+            (id, record) -> {
+              Optional<MachineType> type = around.catalog().type(record.type());
+              Optional<MachineReport> report = block.reportOf(id);
+              if (type.isPresent()
+                  && report.isPresent()
+                  && record.up()
+                  && usable(id, report.get())) {
+                found.add(
+                    new Room(
+                        id,
+                        record.type(),
+                        record.spot(),
+                        type.get().size(),
+                        type.get().size().minus(used.getOrDefault(id, Resources.ZERO)),
+                        new HashSet<>(report.get().getImages())));
+              }
+            });
+    return found;
+  }
+
+  private boolean usable(MachineId machine, MachineReport report) {
+    Duration report5 = around.settings().cluster().workers().report().multipliedBy(5).dividedBy(2);
+    return report.getPhase().equals(MachinePhase.CONFIRMED.name())
+        && report.getRecallMs() < 0
+        && report.getSilentMs() < report5.toMillis()
+        && !fleet.closed(machine)
+        && !faulty(machine);
+  }
+
+  /** Most urgent first: priority, then guarantee, then who can still make its deadline. */
+  List<Job> ranked() {
+    Map<TeamId, Resources> earlier = new HashMap<>();
+    Map<JobId, Boolean> guaranteed = new HashMap<>();
+    List<Job> byAge = new ArrayList<>(jobs.values());
+    byAge.sort(Comparator.comparingLong(Job::acceptedMillis).thenComparing(j -> j.spec().id()));
+    for (Job job : byAge) {
+      Resources need = job.spec().perTask().times(job.spec().tasks() - job.doneCount());
+      Resources sum = earlier.merge(job.spec().team(), need, Resources::plus);
+      PlatformSettings.Team team = teams.get(job.spec().team().value());
+      guaranteed.put(
+          job.spec().id(),
+          team != null && sum.cpus() <= team.cpus() + 1e-6 && (sum.gpus() <= team.gpus() + 1e-6));
+    }
+    long now = loop.wallMillis();
+    Comparator<Job> order =
+        Comparator.<Job, Integer>comparing(job -> job.spec().priority().ordinal())
+            .thenComparing(job -> guaranteed.get(job.spec().id()) ? 0 : 1)
+            .thenComparing(job -> late(job, now) ? 1 : 0)
+            .thenComparingLong(this::dueMillis);
+    byAge.sort(order);
+    return byAge;
+  }
+
+  private long dueMillis(Job job) {
+    double due = job.spec().deadlineSeconds().orElse(86_400);
+    return job.acceptedMillis() + (long) (due * 1000);
+  }
+
+  private boolean late(Job job, long now) {
+    return dueMillis(job) < now + (long) (around.runTimes().expectedSeconds(job) * 1000);
+  }
+
+  private void sendDigest() {
+    if (state != State.LEADING) {
+      return;
+    }
+    loop.after(DIGEST, this::sendDigest);
+    List<JobCount> counts = new ArrayList<>();
+    for (Job job : jobs.values()) {
+      counts.add(new JobCount(job.spec().id().value(), job.doneCount(), job.runningCount()));
+    }
+    JobDigest digest = new JobDigest(counts);
+    around.send().accept(around.self(), digest);
+    around
+        .settings()
+        .members()
+        .forEach(member -> around.send().accept(new NodeId(member.label()), digest));
+  }
+
+  /** Done and delegated tasks of a part of a job. */
+  private final class ChunkUnit implements LeaderJournal.Unit {
+    private final Job job;
+    private final int chunk;
+    private List<Delegation> written = List.of();
+    private List<Delegation> ended = List.of();
+
+    ChunkUnit(Job job, int chunk) {
+      this.job = job;
+      this.chunk = chunk;
+    }
+
+    @Override
+    public List<Write> writes() {
+      if (job.state() == Job.State.ENDING || job.state() == Job.State.ENDED) {
+        return List.of();
+      }
+      written = select(Delegation.State.WRITING);
+      ended = select(Delegation.State.ENDED);
+      return List.of(Write.put(Keys.progress(job.spec().id(), chunk), job.progress(chunk)));
+    }
+
+    private List<Delegation> select(Delegation.State wanted) {
+      return job.delegations().stream()
+          .filter(d -> d.state() == wanted && Job.chunkOf(d.task().index()) == chunk)
+          .toList();
+    }
+
+    @Override
+    public void committed(Revision revision) {
+      written.forEach(delegation -> touch(delegation.block()));
+      ended.forEach(delegation -> touch(delegation.block()));
+      job.stored(written, ended, revision);
+      settle(job);
+      cycleSoon();
+    }
+  }
+
+  /** The end of a job: from here on users hear done or cancelled. */
+  private final class EndUnit implements LeaderJournal.Unit {
+    private final Job job;
+    private final Set<BlockId> touched = new HashSet<>();
+
+    EndUnit(Job job) {
+      this.job = job;
+    }
+
+    @Override
+    public List<Write> writes() {
+      JobId id = job.spec().id();
+      List<Write> writes = new ArrayList<>();
+      writes.add(Write.delete(Keys.active(id)));
+      writes.add(Write.put(Keys.ended(id), JobRecord.endedValue(job.endPhase())));
+      if (job.chunks() == 1 && journal.knows(Keys.progress(id, 0))) {
+        writes.add(Write.delete(Keys.progress(id, 0)));
+      }
+      job.delegations().forEach(delegation -> touched.add(delegation.block()));
+      return writes;
+    }
+
+    @Override
+    public void reread(String key, Optional<Item> item) {
+      if (key.equals(Keys.active(job.spec().id()))) {
+        item.flatMap(JobRecord::read).ifPresent(job::update);
+      }
+    }
+
+    @Override
+    public void committed(Revision revision) {
+      JobId id = job.spec().id();
+      LOG.info("job {} {}", id, job.endPhase().wire());
+      for (int chunk = 0; chunk < job.chunks(); chunk++) {
+        String key = Keys.progress(id, chunk);
+        if (journal.knows(key)) {
+          journal.submit(key, new DeleteUnit(key));
+        }
+      }
+      job.finishEnd();
+      jobs.remove(id);
+      journal.forgotten(Keys.ended(id));
+      touched.forEach(Leader.this::touch);
+      cycleSoon();
+    }
+  }
+
+  /** A block's new holder, bound to the holder's session lease. */
+  private final class GrantUnit implements LeaderJournal.Unit {
+    private final LeaderBlock block;
+    private final NodeId holder;
+
+    GrantUnit(LeaderBlock block, NodeId holder) {
+      this.block = block;
+      this.holder = holder;
+    }
+
+    @Override
+    public List<Write> writes() {
+      ControlView.NodeRecord node = around.view().nodes().get(holder);
+      return node == null
+          ? List.of()
+          : List.of(Write.put(Keys.grant(block.id()), ControlView.grantValue(holder), node.hold()));
+    }
+
+    @Override
+    public void committed(Revision revision) {
+      block.grant(Optional.of(new LeaderBlock.Grant(holder, revision)));
+      sendSoon();
+    }
+  }
+
+  /** A key that is no longer needed. */
+  private record DeleteUnit(String key) implements LeaderJournal.Unit {
+    @Override
+    public List<Write> writes() {
+      return List.of(Write.delete(key));
+    }
+
+    @Override
+    public void committed(Revision revision) {
+      LOG.debug("removed {}", key);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/MachinePhase.java
@@ -0,0 +1,13 @@
+package org.mulleinshift.coordination;
+
+/** How a holder stands with a machine of its block. */
+enum MachinePhase {
+  /** No report under this grant yet. */
+  UNSEEN,
+  /** It reports, but has not yet shown that it knows the token. */
+  HEARD,
+  /** It knows the token: what it reports is all that is on it. */
+  CONFIRMED,
+  /** Its worker lease is surely over: nothing runs on it. */
+  SILENT
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -0,0 +1,69 @@
+package org.mulleinshift.coordination;
+
+import java.util.Set;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.protocol.Resources;
+
+/** Free room on one machine while a plan is made. */
+final class Room {
+  private final MachineId machine;
+  private final MachineTypeId type;
+  private final boolean spot;
+  private final Resources size;
+  private final Set<String> images;
+  private Resources free;
+
+  Room(
+      MachineId machine,
+      MachineTypeId type,
+      boolean spot,
+      Resources size,
+      Resources free,
+      Set<String> images) {
+    this.machine = machine;
+    this.type = type;
+    this.spot = spot;
+    this.size = size;
+    this.free = free;
+    this.images = images;
+  }
+
+  boolean takes(PlacementNeed need) {
+    return need.allows(type, spot) && need.perTask().fitsInto(free);
+  }
+
+  void take(PlacementNeed need) {
+    free = free.minus(need.perTask());
+    images.add(need.image());
+  }
+
+  void give(Resources amount) {
+    free = free.plus(amount);
+  }
+
+  /** Lower is better: a machine that has the image first, then the one that is left fullest. */
+  double score(PlacementNeed need) {
+    double left = 0;
+    left += size.cpus() > 0 ? (free.cpus() - need.perTask().cpus()) : 0;
+    left += size.gpus() > 0 ? 8 * (free.gpus() - need.perTask().gpus()) : 0;
+    left += size.memoryGb() > 0 ? (free.memoryGb() - need.perTask().memoryGb()) / 16 : 0;
+    return left + (images.contains(need.image()) ? 0 : 1000);
+  }
+
+  MachineId machine() {
+    return machine;
+  }
+
+  boolean spot() {
+    return spot;
+  }
+
+  MachineTypeId type() {
+    return type;
+  }
+
+  Resources free() {
+    return free;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/RunTimes.java
@@ -0,0 +1,33 @@
+package org.mulleinshift.coordination;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.protocol.JobSpec;
+
+/**
+ * Expected run times: a job's own finished tasks say most, else its class's ratio of run time to
+ * the owner's guess, else the guess alone.
+ */
+final class RunTimes {
+  private static final double WEIGHT = 0.1;
+  private static final double LEAST_RATIO = 0.2;
+  private static final double MOST_RATIO = 5;
+  private static final double UNKNOWN_SECONDS = 60;
+
+  private final Map<String, Double> ratios = new HashMap<>();
+
+  void finished(JobSpec spec, double seconds) {
+    if (spec.estimateSeconds() > 0 && seconds > 0) {
+      double ratio = Math.min(MOST_RATIO, Math.max(LEAST_RATIO, seconds / spec.estimateSeconds()));
+      ratios.merge(spec.jobClass(), ratio, (old, seen) -> old * (1 - WEIGHT) + seen * WEIGHT);
+    }
+  }
+
+  double expectedSeconds(Job job) {
+    double guess = job.spec().estimateSeconds();
+    double byClass =
+        guess > 0 ? guess * ratios.getOrDefault(job.spec().jobClass(), 1.0) : UNKNOWN_SECONDS;
+    return job.meanRunSeconds().orElse(byClass);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Session.java
@@ -0,0 +1,253 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.mulleinshift.bookkeeping.ControlView;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.StateStore;
+import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.protocol.BlockId;
+import org.mulleinshift.protocol.HoldId;
+import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec;
+import org.mulleinshift.protocol.StateCodec.Guard;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.SteadyTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This process's lease at the state service, to which its block grants are bound, and the proof
+ * that the grants still stand. Entitlement ends by the steady clock, counted from when the renewal
+ * and the reading of the grants were sent, less drift: the store then cannot have ended the lease
+ * earlier than we stop.
+ */
+final class Session {
+  private static final Logger LOG = LoggerFactory.getLogger(Session.class);
+  private static final Duration RETRY = Duration.ofMillis(500);
+  private static final Duration SAFETY = Duration.ofMillis(200);
+  private static final double DRIFT = 0.001;
+
+  /** States of the session. */
+  enum State {
+    /** Ending the lease of this label's earlier process, which is surely dead. */
+    CLEARING,
+    ACQUIRING,
+    REGISTERING,
+    HELD
+  }
+
+  private final EventLoop loop;
+  private final StateStore store;
+  private final NodeId self;
+  private final Duration ttl;
+  private final Duration renewEvery;
+  private final Runnable onChange;
+  private State state = State.CLEARING;
+  private Optional<HoldId> hold = Optional.empty();
+  private SteadyTime renewedAt;
+  private SteadyTime verifiedAt;
+  private SteadyTime answeredAt;
+  private Map<BlockId, Revision> verified = Map.of();
+  private boolean verifyPlanned;
+
+  Session(
+      EventLoop loop,
+      StateStore store,
+      NodeId self,
+      Duration ttl,
+      Duration renewEvery,
+      Runnable onChange) {
+    this.loop = loop;
+    this.store = store;
+    this.self = self;
+    this.ttl = ttl;
+    this.renewEvery = renewEvery;
+    this.onChange = onChange;
+    this.renewedAt = loop.now().minus(ttl);
+    this.verifiedAt = renewedAt;
+    this.answeredAt = loop.now();
+  }
+
+  void start() {
+    clearLeaderKey();
+  }
+
+  private void moveTo(State next) {
+    LOG.info("session {} -> {}", state, next);
+    state = next;
+    onChange.run();
+  }
+
+  /** A restarted leader frees the leader's key at once instead of waiting for its lease. */
+  private void clearLeaderKey() {
+    store.get(
+        Keys.LEADER,
+        StateStore.Urgency.URGENT,
+        answer -> {
+          if (answer instanceof Answer.Found<Item> found
+              && found.value().value().path("node").asText().equals(self.value())) {
+            endOld(new HoldId(found.value().value().path("hold").asLong()), this::clearNodeKey);
+          } else if (answer instanceof Answer.Found<Item>
+              || answer instanceof Answer.Absent<Item>) {
+            clearNodeKey();
+          } else {
+            loop.after(RETRY, this::clearLeaderKey);
+          }
+        });
+  }
+
+  private void clearNodeKey() {
+    store.get(
+        Keys.node(self),
+        StateStore.Urgency.URGENT,
+        answer -> {
+          if (answer instanceof Answer.Found<Item> found) {
+            endOld(ControlView.nodeRecord(found.value()).hold(), this::acquire);
+          } else if (answer instanceof Answer.Absent<Item>) {
+            acquire();
+          } else {
+            loop.after(RETRY, this::clearNodeKey);
+          }
+        });
+  }
+
+  private void endOld(HoldId old, Runnable next) {
+    store.endHold(
+        old,
+        answer -> {
+          if (answer instanceof Answer.Found<Boolean> || answer instanceof Answer.Absent<Boolean>) {
+            next.run();
+          } else {
+            loop.after(RETRY, () -> endOld(old, next));
+          }
+        });
+  }
+
+  private void acquire() {
+    moveTo(State.ACQUIRING);
+    SteadyTime sent = loop.now();
+    store.grantHold(
+        ttl,
+        answer -> {
+          if (answer instanceof Answer.Found<HoldId> found) {
+            hold = Optional.of(found.value());
+            renewedAt = sent;
+            register(found.value());
+          } else {
+            loop.after(RETRY, this::acquire);
+          }
+        });
+  }
+
+  private void register(HoldId mine) {
+    moveTo(State.REGISTERING);
+    store.commit(
+        List.of(new Guard(Keys.node(self), new Revision(0))),
+        List.of(Write.put(Keys.node(self), ControlView.nodeValue(mine), mine)),
+        StateStore.Urgency.URGENT,
+        outcome -> {
+          if (outcome instanceof StateStore.Outcome.Committed) {
+            answeredAt = loop.now();
+            moveTo(State.HELD);
+            renew(mine);
+          } else {
+            // Silence may mean that our own key is there already: start over, which finds it.
+            loop.after(RETRY, this::clearNodeKey);
+          }
+        });
+  }
+
+  private void renew(HoldId mine) {
+    SteadyTime sent = loop.now();
+    verify();
+    store.renew(
+        mine,
+        answer -> {
+          if (answer instanceof Answer.Found<Boolean>) {
+            renewedAt = sent;
+            answeredAt = loop.now();
+            loop.after(renewEvery, () -> renew(mine));
+          } else if (answer instanceof Answer.Absent<Boolean>) {
+            LOG.warn("session lease {} is over", mine);
+            hold = Optional.empty();
+            renewedAt = loop.now().minus(ttl);
+            verified = Map.of();
+            acquire();
+          } else {
+            loop.after(RETRY, () -> renew(mine));
+          }
+        });
+  }
+
+  /** Reads which grants stand. A watch does not prove that: its news may be held back. */
+  private void verify() {
+    SteadyTime sent = loop.now();
+    store.range(
+        Keys.GRANTS,
+        answer -> {
+          if (answer instanceof Answer.Found<StateCodec.Range> found) {
+            Map<BlockId, Revision> mine = new HashMap<>();
+            for (Item item : found.value().items()) {
+              if (item.value().path("holder").asText().equals(self.value())) {
+                mine.put(new BlockId(item.key().substring(Keys.GRANTS.length())), item.version());
+              }
+            }
+            if (sent.isAfter(verifiedAt)) {
+              verifiedAt = sent;
+              boolean changed = !mine.equals(verified);
+              verified = mine;
+              if (changed) {
+                onChange.run();
+              }
+            }
+          }
+        });
+  }
+
+  /** Called when a watch brings news of the grants. */
+  void verifySoon() {
+    if (verifyPlanned || state != State.HELD) {
+      return;
+    }
+    verifyPlanned = true;
+    loop.after(
+        Duration.ofMillis(5),
+        () -> {
+          verifyPlanned = false;
+          verify();
+        });
+  }
+
+  private Duration usable() {
+    return Duration.ofNanos((long) (ttl.toNanos() * (1 - DRIFT))).minus(SAFETY);
+  }
+
+  /** Checked whenever this node acts, not only by a timer: timers may go off late. */
+  boolean entitled(BlockId block, Revision grant) {
+    SteadyTime end = renewedAt.earlier(verifiedAt).plus(usable());
+    return state == State.HELD && end.isAfter(loop.now()) && grant.equals(verified.get(block));
+  }
+
+  Map<BlockId, Revision> grants() {
+    return verified;
+  }
+
+  Optional<HoldId> hold() {
+    return state == State.HELD ? hold : Optional.empty();
+  }
+
+  State state() {
+    return state;
+  }
+
+  Duration storeSilence() {
+    return loop.now().since(answeredAt);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/BlockId.java
@@ -0,0 +1,14 @@
+package org.mulleinshift.protocol;
+
+/** A block of machines in one zone. */
+public record BlockId(String value) implements Comparable<BlockId> {
+  @Override
+  public int compareTo(BlockId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/FencingToken.java
@@ -0,0 +1,14 @@
+package org.mulleinshift.protocol;
+
+/** Says who may command a machine; a machine obeys the highest that it has seen. */
+public record FencingToken(long value) implements Comparable<FencingToken> {
+  @Override
+  public int compareTo(FencingToken other) {
+    return Long.compare(value, other.value);
+  }
+
+  @Override
+  public String toString() {
+    return Long.toString(value);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/HoldId.java
@@ -0,0 +1,14 @@
+package org.mulleinshift.protocol;
+
+/** A lease at the state service. */
+public record HoldId(long value) implements Comparable<HoldId> {
+  @Override
+  public int compareTo(HoldId other) {
+    return Long.compare(value, other.value);
+  }
+
+  @Override
+  public String toString() {
+    return Long.toString(value);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/JobId.java
@@ -0,0 +1,14 @@
+package org.mulleinshift.protocol;
+
+/** A job's id, chosen by its user. */
+public record JobId(String value) implements Comparable<JobId> {
+  @Override
+  public int compareTo(JobId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/JobKind.java
@@ -0,0 +1,19 @@
+package org.mulleinshift.protocol;
+
+/** What becomes of a job's tasks. */
+public enum JobKind {
+  /** Each task runs to completion. */
+  ARRAY("batch"),
+  /** The tasks run until the job is cancelled. */
+  SERVICE("standing");
+
+  private final String wire;
+
+  JobKind(String wire) {
+    this.wire = wire;
+  }
+
+  public String wire() {
+    return wire;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/Json.java
@@ -0,0 +1,87 @@
+package org.mulleinshift.protocol;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+/** Reading of JSON trees with checked fields. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper(
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder().maxNestingDepth(64).build())
+                  .build())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY);
+  static final int LONGEST_NAME = 200;
+
+  private Json() {}
+
+  public static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  public static String write(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsString(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Reads one JSON object. */
+  public static JsonNode parseObject(String text) throws BadMessage {
+    JsonNode node;
+    try {
+      node = MAPPER.readTree(text);
+    } catch (JsonProcessingException e) {
+      throw new BadMessage("not JSON");
+    }
+    if (node == null || !node.isObject()) {
+      throw new BadMessage("not an object");
+    }
+    return node;
+  }
+
+  static String text(JsonNode parent, String key) throws BadMessage {
+    JsonNode node = parent.path(key);
+    if (!node.isTextual() || node.asText().isEmpty() || node.asText().length() > LONGEST_NAME) {
+      throw new BadMessage(key + " is missing or not a short text");
+    }
+    return node.asText();
+  }
+
+  static double amount(JsonNode parent, String key) throws BadMessage {
+    JsonNode node = parent.path(key);
+    double value = node.isNumber() ? node.asDouble() : Double.NaN;
+    if (!(value >= 0 && value <= 1e9)) {
+      throw new BadMessage(key + " is missing or not an amount");
+    }
+    return value;
+  }
+
+  static long count(JsonNode parent, String key, long least, long most) throws BadMessage {
+    JsonNode node = parent.path(key);
+    if (!node.isIntegralNumber()
+        || !node.canConvertToLong()
+        || node.asLong() < least
+        || node.asLong() > most) {
+      throw new BadMessage(key + " is missing or out of range");
+    }
+    return node.asLong();
+  }
+
+  static boolean flag(JsonNode parent, String key) throws BadMessage {
+    JsonNode node = parent.path(key);
+    if (!node.isBoolean()) {
+      throw new BadMessage(key + " is missing or not a boolean");
+    }
+    return node.asBoolean();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/MachineId.java
@@ -0,0 +1,14 @@
+package org.mulleinshift.protocol;
+
+/** A machine's name, given by the cloud. */
+public record MachineId(String value) implements Comparable<MachineId> {
+  @Override
+  public int compareTo(MachineId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/PeerCodec.java
@@ -0,0 +1,42 @@
+package org.mulleinshift.protocol;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import org.apache.avro.AvroRuntimeException;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.EncoderFactory;
+import org.apache.avro.specific.SpecificDatumReader;
+import org.apache.avro.specific.SpecificDatumWriter;
+import org.mulleinshift.protocol.peer.PeerFrame;
+
+/** The controllers' interface: Avro's binary form of the peer schema. */
+public final class PeerCodec {
+  static {
+    // Avro makes objects only of classes that it was told to trust.
+    System.setProperty("org.apache.avro.SERIALIZABLE_PACKAGES", PeerFrame.class.getPackageName());
+  }
+
+  private final SpecificDatumWriter<PeerFrame> writer = new SpecificDatumWriter<>(PeerFrame.class);
+  private final SpecificDatumReader<PeerFrame> reader = new SpecificDatumReader<>(PeerFrame.class);
+
+  public byte[] write(NodeId sender, Object body) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(512);
+    BinaryEncoder encoder = EncoderFactory.get().directBinaryEncoder(out, null);
+    try {
+      writer.write(new PeerFrame(sender.value(), body), encoder);
+      encoder.flush();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    return out.toByteArray();
+  }
+
+  public PeerFrame read(byte[] frame) throws BadMessage {
+    try {
+      return reader.read(null, DecoderFactory.get().binaryDecoder(frame, null));
+    } catch (IOException | AvroRuntimeException | IndexOutOfBoundsException e) {
+      throw new BadMessage("not a peer frame");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/Resources.java
@@ -0,0 +1,34 @@
+package org.mulleinshift.protocol;
+
+/** Amounts that a task takes and a machine has. */
+public record Resources(double cpus, double gpus, double memoryGb) {
+  public static final Resources ZERO = new Resources(0, 0, 0);
+  private static final double SLACK = 1e-6;
+
+  public Resources plus(Resources other) {
+    return new Resources(cpus + other.cpus, gpus + other.gpus, memoryGb + other.memoryGb);
+  }
+
+  public Resources minus(Resources other) {
+    return new Resources(cpus - other.cpus, gpus - other.gpus, memoryGb - other.memoryGb);
+  }
+
+  public Resources times(double count) {
+    return new Resources(cpus * count, gpus * count, memoryGb * count);
+  }
+
+  public boolean fitsInto(Resources room) {
+    return cpus <= room.cpus + SLACK
+        && gpus <= room.gpus + SLACK
+        && memoryGb <= room.memoryGb + SLACK;
+  }
+
+  /** How many of these fit into the room. */
+  public int countIn(Resources room) {
+    double count = 1e6;
+    count = cpus > 0 ? Math.min(count, (room.cpus + SLACK) / cpus) : count;
+    count = gpus > 0 ? Math.min(count, (room.gpus + SLACK) / gpus) : count;
+    count = memoryGb > 0 ? Math.min(count, (room.memoryGb + SLACK) / memoryGb) : count;
+    return (int) Math.max(0, Math.floor(count));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/StateCodec.java
@@ -0,0 +1,139 @@
+package org.mulleinshift.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** The state service's interface. */
+public final class StateCodec {
+  public static final String COMMIT = "/commit";
+  public static final String HOLDS = "/holds";
+  public static final int RANGE_LIMIT = 1000;
+
+  /** A key with its value and the revision of its last change. */
+  public record Item(String key, JsonNode value, Revision version) {}
+
+  /** One page of keys. */
+  public record Range(List<Item> items, boolean more, Revision revision) {}
+
+  /** A change that a watch saw; without a value the key was deleted. */
+  public record Change(String key, Optional<JsonNode> value, Revision version) {}
+
+  /** What a watch saw. */
+  public record Changes(List<Change> changes, Revision revision) {}
+
+  /** Demands that a key has this version; 0: it does not exist. */
+  public record Guard(String key, Revision version) {}
+
+  /** A put or, without a value, a delete. */
+  public record Write(String key, Optional<JsonNode> value, Optional<HoldId> hold) {
+    public static Write put(String key, JsonNode value) {
+      return new Write(key, Optional.of(value), Optional.empty());
+    }
+
+    public static Write put(String key, JsonNode value, HoldId hold) {
+      return new Write(key, Optional.of(value), Optional.of(hold));
+    }
+
+    public static Write delete(String key) {
+      return new Write(key, Optional.empty(), Optional.empty());
+    }
+  }
+
+  private StateCodec() {}
+
+  public static String keyPath(String key) {
+    return "/keys/" + key;
+  }
+
+  public static String rangePath(String prefix, Optional<String> after) {
+    return "/keys?starts="
+        + prefix
+        + after.map(key -> "&from=" + key).orElse("")
+        + "&limit="
+        + RANGE_LIMIT;
+  }
+
+  public static String watchPath(String prefix, Revision from, Duration wait) {
+    return "/changes?starts=" + prefix + "&from=" + from + "&hold_ms=" + wait.toMillis();
+  }
+
+  public static String renewPath(HoldId hold) {
+    return HOLDS + "/" + hold + "/renew";
+  }
+
+  public static String holdPath(HoldId hold) {
+    return HOLDS + "/" + hold;
+  }
+
+  public static String grant(Duration ttl) {
+    return Json.write(Json.object().put("ttl_ms", ttl.toMillis()));
+  }
+
+  public static String commit(List<Guard> guards, List<Write> writes) {
+    ObjectNode node = Json.object();
+    ArrayNode conditions = node.putArray("guards");
+    for (Guard guard : guards) {
+      conditions.addObject().put("k", guard.key()).put("stamp", guard.version().value());
+    }
+    ArrayNode changes = node.putArray("writes");
+    for (Write write : writes) {
+      ObjectNode item = changes.addObject();
+      if (write.value().isEmpty()) {
+        item.put("delete", write.key());
+      } else {
+        item.put("set", write.key());
+        item.set("value", write.value().get());
+        write.hold().ifPresent(hold -> item.put("hold", hold.value()));
+      }
+    }
+    return Json.write(node);
+  }
+
+  public static HoldId parseHold(String body) throws BadMessage {
+    return new HoldId(Json.count(Json.parseObject(body), "hold", 0, Long.MAX_VALUE));
+  }
+
+  public static Item parseItem(String body) throws BadMessage {
+    return item(Json.parseObject(body));
+  }
+
+  public static Revision parseRevision(String body) throws BadMessage {
+    return revision(Json.parseObject(body), "epoch");
+  }
+
+  public static Range parseRange(String body) throws BadMessage {
+    JsonNode node = Json.parseObject(body);
+    List<Item> items = new ArrayList<>();
+    for (JsonNode row : node.path("rows")) {
+      items.add(item(row));
+    }
+    return new Range(items, node.path("more").asBoolean(false), revision(node, "epoch"));
+  }
+
+  public static Changes parseChanges(String body) throws BadMessage {
+    JsonNode node = Json.parseObject(body);
+    List<Change> changes = new ArrayList<>();
+    for (JsonNode event : node.path("news")) {
+      boolean put = event.hasNonNull("set");
+      changes.add(
+          new Change(
+              Json.text(event, put ? "set" : "delete"),
+              put ? Optional.of(event.path("value")) : Optional.empty(),
+              revision(event, "stamp")));
+    }
+    return new Changes(changes, revision(node, "epoch"));
+  }
+
+  private static Item item(JsonNode node) throws BadMessage {
+    return new Item(Json.text(node, "k"), node.path("value"), revision(node, "stamp"));
+  }
+
+  private static Revision revision(JsonNode node, String key) throws BadMessage {
+    return new Revision(Json.count(node, key, 0, Long.MAX_VALUE));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/TaskId.java
@@ -0,0 +1,15 @@
+package org.mulleinshift.protocol;
+
+/** One task of a job. */
+public record TaskId(JobId job, int index) implements Comparable<TaskId> {
+  @Override
+  public int compareTo(TaskId other) {
+    int byJob = job.compareTo(other.job);
+    return byJob != 0 ? byJob : Integer.compare(index, other.index);
+  }
+
+  @Override
+  public String toString() {
+    return job.value() + "/" + index;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/WorkerReport.java
@@ -0,0 +1,38 @@
+package org.mulleinshift.protocol;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** What a worker says of itself. */
+public record WorkerReport(
+    MachineId machine,
+    String address,
+    MachineTypeId type,
+    ZoneId zone,
+    boolean spot,
+    WorkerMoment moment,
+    FencingToken highestToken,
+    Optional<Duration> recall,
+    List<Entry> tasks) {
+
+  public enum State {
+    FETCHING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  public enum Cause {
+    NONE,
+    DONE,
+    STOPPED,
+    ERROR,
+    NO_ROOM,
+    BUSY,
+    UNKNOWN
+  }
+
+  /** One task on the machine. */
+  public record Entry(TaskId task, Attempt attempt, State state, Cause cause) {}
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/settings/PlatformSettings.java
@@ -0,0 +1,45 @@
+package org.mulleinshift.settings;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/** What the platform hands to every controller. */
+public record PlatformSettings(
+    String label,
+    String zone,
+    InetSocketAddress publicAddress,
+    InetSocketAddress peerBind,
+    List<Member> members,
+    InetSocketAddress cloud,
+    InetSocketAddress state,
+    Cluster cluster,
+    Limits limits) {
+
+  public record Member(String label, String zone, InetSocketAddress address) {}
+
+  public record Cluster(
+      int size,
+      List<String> zones,
+      Duration clockOff,
+      List<Team> teams,
+      List<Objective> objectives,
+      Workers workers,
+      State state,
+      Cloud cloudLimits) {}
+
+  /** A maximum of 0 means that there is none. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+  public record Objective(String kind, Optional<String> jobClass, double withinSeconds) {}
+
+  public record Workers(Duration report, Duration lease, Duration cancel) {}
+
+  public record State(
+      double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps) {}
+
+  public record Cloud(double requestsPerSecond, Duration listLag) {}
+
+  public record Limits(double cpu, double memoryMb, int sockets) {}
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/transport/HttpFrontend.java
@@ -0,0 +1,138 @@
+package org.mulleinshift.transport;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The JDK's HTTP server in front of the event loop. Its threads read requests and write answers;
+ * the server's own limits end connections whose request or answer takes too long, so that slow
+ * clients cannot hold the threads.
+ */
+public final class HttpFrontend {
+  private static final Logger LOG = LoggerFactory.getLogger(HttpFrontend.class);
+  private static final int LONGEST_BODY = 64 * 1024;
+  private static final int STACK_BYTES = 192 * 1024;
+
+  private final EventLoop loop;
+  private final RequestHandler handler;
+  private final ThreadPoolExecutor threads;
+  private final HttpServer server;
+
+  public HttpFrontend(EventLoop loop, RequestHandler handler, InetSocketAddress address, int count)
+      throws IOException {
+    this.loop = loop;
+    this.handler = handler;
+    this.threads =
+        new ThreadPoolExecutor(
+            count,
+            count,
+            30,
+            TimeUnit.SECONDS,
+            new LinkedBlockingQueue<>(2048),
+            step -> {
+              Thread thread = new Thread(null, step, "http", STACK_BYTES);
+              thread.setDaemon(true);
+              return thread;
+            });
+    this.server = HttpServer.create(address, 128);
+    server.setExecutor(threads);
+    server.createContext("/", this::receive);
+  }
+
+  /** Limits of the JDK's server; they must be set before it is first used. */
+  public static void configure(int sockets) {
+    System.setProperty("sun.net.httpserver.nodelay", "true");
+    System.setProperty("sun.net.httpserver.maxReqTime", "5");
+    System.setProperty("sun.net.httpserver.maxRspTime", "10");
+    System.setProperty("sun.net.httpserver.idleInterval", "120");
+    // Above its cap of idle connections the server closes each one after its answer.
+    System.setProperty("sun.net.httpserver.maxIdleConnections", Integer.toString(sockets / 2));
+    System.setProperty("sun.net.http.retryPost", "false");
+    System.setProperty("http.maxConnections", "8");
+  }
+
+  public void start() {
+    server.start();
+  }
+
+  private void receive(HttpExchange exchange) throws IOException {
+    byte[] body;
+    try (InputStream in = exchange.getRequestBody()) {
+      body = in.readNBytes(LONGEST_BODY + 1);
+      if (body.length > LONGEST_BODY) {
+        exchange.getResponseHeaders().set("Connection", "close");
+        write(exchange, 413, "{\"error\":\"body too long\"}");
+        return;
+      }
+    }
+    String method = exchange.getRequestMethod();
+    String path = exchange.getRequestURI().getRawPath();
+    Responder responder = new ExchangeResponder(exchange);
+    String text = new String(body, StandardCharsets.UTF_8);
+    loop.post(
+        () -> {
+          try {
+            handler.handle(method, path, text, responder);
+          } catch (RuntimeException e) {
+            LOG.error("{} {} failed", method, path, e);
+            responder.respondLater(503, "{\"error\":\"internal\"}", 1);
+          }
+        });
+  }
+
+  private static void write(HttpExchange exchange, int status, String body) {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    try {
+      exchange.getResponseHeaders().set("Content-Type", "application/json");
+      exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
+      try (OutputStream out = exchange.getResponseBody()) {
+        out.write(bytes);
+      }
+    } catch (IOException e) {
+      LOG.debug("answer lost: {}", e.toString());
+    } finally {
+      exchange.close();
+    }
+  }
+
+  private final class ExchangeResponder implements Responder {
+    private final HttpExchange exchange;
+    private boolean answered;
+
+    ExchangeResponder(HttpExchange exchange) {
+      this.exchange = exchange;
+    }
+
+    @Override
+    public void respond(int status, String body) {
+      if (answered) {
+        return;
+      }
+      answered = true;
+      try {
+        threads.execute(() -> write(exchange, status, body));
+      } catch (RejectedExecutionException e) {
+        exchange.close();
+      }
+    }
+
+    @Override
+    public void respondLater(int status, String body, int retryAfterSeconds) {
+      if (!answered) {
+        exchange.getResponseHeaders().set("Retry-After", Integer.toString(retryAfterSeconds));
+      }
+      respond(status, body);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/transport/PeerLink.java
@@ -0,0 +1,6 @@
+package org.mulleinshift.transport;
+
+/** Best-effort frames to the other controllers; a frame may be lost, never reordered. */
+public interface PeerLink {
+  void send(String label, byte[] frame);
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/transport/RateBudget.java
@@ -0,0 +1,48 @@
+package org.mulleinshift.transport;
+
+import java.time.Duration;
+
+/** A share of an outside system's rate, with one second's worth of burst. */
+public final class RateBudget {
+  private final EventLoop loop;
+  private final double burst;
+  private double perSecond;
+  private double tokens;
+  private SteadyTime filledAt;
+
+  public RateBudget(EventLoop loop, double perSecond) {
+    this.loop = loop;
+    this.perSecond = perSecond;
+    this.burst = Math.max(1, perSecond);
+    this.tokens = burst;
+    this.filledAt = loop.now();
+  }
+
+  /** Takes from the budget if that leaves the reserve untouched. */
+  public boolean take(double amount, double reserve) {
+    refill();
+    if (tokens < amount + reserve) {
+      return false;
+    }
+    tokens -= amount;
+    return true;
+  }
+
+  /** For calls that may not wait: they borrow from what comes later. */
+  public void force(double amount) {
+    refill();
+    tokens -= amount;
+  }
+
+  public Duration untilAvailable(double amount, double reserve) {
+    refill();
+    double missing = amount + reserve - tokens;
+    return Duration.ofNanos((long) (Math.max(0.001, missing / perSecond) * 1e9));
+  }
+
+  private void refill() {
+    SteadyTime now = loop.now();
+    tokens = Math.min(burst, tokens + perSecond * now.secondsSince(filledAt));
+    filledAt = now;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/transport/ThreadEventLoop.java
@@ -0,0 +1,115 @@
+package org.mulleinshift.transport;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** An event loop on the calling thread with real clocks. */
+public final class ThreadEventLoop implements EventLoop {
+  private static final Logger LOG = LoggerFactory.getLogger(ThreadEventLoop.class);
+
+  private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
+  private final PriorityQueue<Pending> timers = new PriorityQueue<>();
+  private final SplittableRandom random = new SplittableRandom();
+  private long sequence;
+
+  @Override
+  public void post(Runnable step) {
+    queue.add(step);
+  }
+
+  @Override
+  public Timer after(Duration delay, Runnable step) {
+    Pending pending = new Pending(now().plus(delay), sequence++, step);
+    timers.add(pending);
+    return pending;
+  }
+
+  @Override
+  public SteadyTime now() {
+    return new SteadyTime(System.nanoTime());
+  }
+
+  @Override
+  public long wallMillis() {
+    return System.currentTimeMillis();
+  }
+
+  @Override
+  public double random() {
+    return random.nextDouble();
+  }
+
+  /** Runs until the process ends. */
+  public void run() throws InterruptedException {
+    List<Runnable> batch = new ArrayList<>();
+    while (true) {
+      runDueTimers();
+      Runnable first = awaitStep();
+      if (first != null) {
+        batch.add(first);
+        queue.drainTo(batch, 63);
+        batch.forEach(ThreadEventLoop::runGuarded);
+        batch.clear();
+      }
+    }
+  }
+
+  private Runnable awaitStep() throws InterruptedException {
+    Pending next = timers.peek();
+    if (next == null) {
+      return queue.take();
+    }
+    long wait = next.due.nanos() - now().nanos();
+    return wait <= 0 ? queue.poll() : queue.poll(wait, TimeUnit.NANOSECONDS);
+  }
+
+  private void runDueTimers() {
+    SteadyTime now = now();
+    while (!timers.isEmpty() && !timers.peek().due.isAfter(now)) {
+      Pending pending = timers.poll();
+      if (!pending.cancelled) {
+        runGuarded(pending.step);
+      }
+    }
+  }
+
+  /** One failing step must not end the process: the state stays owned by this thread. */
+  private static void runGuarded(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      LOG.error("step failed", e);
+    }
+  }
+
+  private static final class Pending implements Timer, Comparable<Pending> {
+    private final SteadyTime due;
+    private final long sequence;
+    private final Runnable step;
+    private boolean cancelled;
+
+    Pending(SteadyTime due, long sequence, Runnable step) {
+      this.due = due;
+      this.sequence = sequence;
+      this.step = step;
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+    }
+
+    @Override
+    public int compareTo(Pending other) {
+      int byTime = due.compareTo(other.due);
+      return byTime != 0 ? byTime : Long.compare(sequence, other.sequence);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/LayersTest.java
@@ -0,0 +1,45 @@
+package org.mulleinshift;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+
+/** Lower layers know nothing of upper ones, and only the transport starts threads. */
+@AnalyzeClasses(packages = "org.mulleinshift", importOptions = ImportOption.DoNotIncludeTests.class)
+final class LayersTest {
+  @ArchTest
+  static final ArchRule LAYERS =
+      layeredArchitecture()
+          .consideringOnlyDependenciesInLayers()
+          .layer("coordination")
+          .definedBy("..coordination..")
+          .layer("bookkeeping")
+          .definedBy("..bookkeeping..")
+          .layer("protocol")
+          .definedBy("..protocol..")
+          .layer("transport")
+          .definedBy("..transport..")
+          .layer("settings")
+          .definedBy("..settings..")
+          .whereLayer("coordination")
+          .mayNotBeAccessedByAnyLayer()
+          .whereLayer("bookkeeping")
+          .mayOnlyBeAccessedByLayers("coordination")
+          .whereLayer("protocol")
+          .mayOnlyBeAccessedByLayers("bookkeeping", "coordination")
+          .whereLayer("transport")
+          .mayOnlyBeAccessedByLayers("protocol", "bookkeeping", "coordination");
+
+  @ArchTest
+  static final ArchRule THREADS =
+      ArchRuleDefinition.noClasses()
+          .that()
+          .resideInAnyPackage("..protocol..", "..bookkeeping..", "..coordination..")
+          .should()
+          .accessClassesThat()
+          .belongToAnyOf(Thread.class, java.util.concurrent.Executor.class);
+}
