--- a/src/main/java/org/mulleinshift/Main.java
+++ b/src/main/java/org/mulleinshift/Main.java
@@ -32,6 +32,7 @@
     sortOptions = false)
 public final class Main implements Callable<Integer> {
   private static final int BAD_SETTINGS = 2;
+  private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
   @Option(
       names = "--config",
@@ -105,12 +106,12 @@
     HttpFrontend frontend =
         new HttpFrontend(
             loop, controller, settings.publicAddress(), tunables.count(Tunables.Key.HTTP_THREADS));
-    link.start(settings.peerBind());
+    link.start(rehearse ? ANY_PORT : settings.peerBind());
     frontend.start();
     loop.post(controller::start);
     log.info("{} serves {}", settings.label(), settings.publicAddress());
     if (rehearse) {
-      Rehearsal.run(loop, settings, log);
+      Rehearsal.run(loop, frontend.address(), log);
       return;
     }
     loop.run();
--- a/src/main/java/org/mulleinshift/Rehearsal.java
+++ b/src/main/java/org/mulleinshift/Rehearsal.java
@@ -1,5 +1,6 @@
 package org.mulleinshift;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.JobCodec;
@@ -8,7 +9,6 @@
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.WorkerCodec;
 import org.mulleinshift.protocol.peer.Heartbeat;
-import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.transport.HttpRequest;
 import org.mulleinshift.transport.JdkHttpCaller;
 import org.mulleinshift.transport.ThreadEventLoop;
@@ -20,7 +20,7 @@
 
   private Rehearsal() {}
 
-  static void run(ThreadEventLoop loop, PlatformSettings settings, Logger log)
+  static void run(ThreadEventLoop loop, InetSocketAddress address, Logger log)
       throws InterruptedException {
     try {
       PeerCodec codec = new PeerCodec();
@@ -34,7 +34,7 @@
     loop.post(
         () ->
             caller.call(
-                settings.publicAddress(),
+                address,
                 HttpRequest.post(JobCodec.RUNS, "{\"ref\":1}", Duration.ofSeconds(1)),
                 reply -> log.info("rehearsed: {}", reply.status())));
     Thread end =
--- a/src/main/java/org/mulleinshift/transport/HttpFrontend.java
+++ b/src/main/java/org/mulleinshift/transport/HttpFrontend.java
@@ -66,6 +66,11 @@
     server.start();
   }
 
+  /** Where it listens; tells the port if any free one was asked for. */
+  public InetSocketAddress address() {
+    return server.getAddress();
+  }
+
   private void receive(HttpExchange exchange) throws IOException {
     byte[] body;
     try (InputStream in = exchange.getRequestBody()) {
