--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -198,7 +198,7 @@
   }
 
   public boolean complete() {
-    return spec.kind() == JobKind.ARRAY && done.cardinality() == spec.tasks();
+    return spec.kind() != JobKind.SERVICE && done.cardinality() == spec.tasks();
   }
 
   /** Cancelled, and provably no task of it is anywhere. */
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -300,14 +300,14 @@
 
   private static TaskPhase phaseOf(WorkerReport.Entry entry) {
     return switch (entry.state()) {
-      case FETCHING -> TaskPhase.FETCHING;
+      case FETCHING, WAITING -> TaskPhase.FETCHING;
       case RUNNING -> TaskPhase.RUNNING;
       case SAVING -> TaskPhase.SAVING;
       case EXITED ->
           switch (entry.cause()) {
             case DONE -> TaskPhase.DONE;
             case STOPPED -> TaskPhase.STOPPED;
-            case NO_ROOM, BUSY, UNKNOWN -> TaskPhase.REJECTED;
+            case NO_ROOM, BUSY, GANG_BROKEN, UNKNOWN -> TaskPhase.REJECTED;
             case NONE, ERROR -> TaskPhase.FAILED;
           };
     };
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -101,7 +101,7 @@
             store,
             self,
             blockLease,
-            tunables.seconds(Tunables.Key.RENEW_S),
+            shorter(tunables.seconds(Tunables.Key.RENEW_S), blockLease.dividedBy(5)),
             this::onSessionChange);
     this.election =
         new Election(
@@ -154,6 +154,10 @@
     return left.compareTo(least) < 0 ? least : left;
   }
 
+  private static Duration shorter(Duration one, Duration other) {
+    return one.compareTo(other) < 0 ? one : other;
+  }
+
   public void start() {
     session.start();
     control.start();
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -119,7 +119,7 @@
     if (!fits) {
       return Optional.of("a task fits no allowed machine type");
     }
-    int atOnce = spec.kind() == JobKind.SERVICE ? spec.tasks() : 1;
+    int atOnce = spec.kind() == JobKind.ARRAY ? 1 : spec.tasks();
     boolean over =
         (team.cpusMax() > 0 && spec.perTask().cpus() * atOnce > team.cpusMax() + 1e-6)
             || (team.gpusMax() > 0 && spec.perTask().gpus() * atOnce > team.gpusMax() + 1e-6);
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -25,6 +25,7 @@
 import org.mulleinshift.protocol.Attempt;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobKind;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.NodeId;
@@ -524,6 +525,9 @@
       return;
     }
     PlacementNeed need = PlacementNeed.of(job.spec());
+    if (job.spec().kind() == JobKind.GANG && !gangFits(job, need, rooms, allowed)) {
+      return;
+    }
     int placed = 0;
     Set<Integer> chunks = new HashSet<>();
     for (int index : job.waiting(allowed, loop.now())) {
@@ -541,6 +545,31 @@
     }
   }
 
+  /** A gang starts as a whole: none of its tasks is out, and there is room for all of them. */
+  private boolean gangFits(
+      Job job, PlacementNeed need, Map<BlockId, List<Room>> rooms, int allowed) {
+    int tasks = job.spec().tasks() - job.doneCount();
+    if (job.delegatedCount() > 0
+        || allowed < tasks
+        || job.waiting(tasks, loop.now()).length < tasks) {
+      return false;
+    }
+    Map<ZoneId, Integer> perZone = new HashMap<>();
+    rooms.forEach(
+        (block, list) -> {
+          int fit = list.stream().mapToInt(room -> room.countOf(need)).sum();
+          ZoneId zone = blocks.get(block).zone();
+          if (job.spec().allowsZone(zone)) {
+            perZone.merge(zone, fit, Integer::sum);
+          }
+        });
+    if (job.spec().oneZone()) {
+      return perZone.values().stream().anyMatch(fit -> fit >= tasks);
+    }
+    int half = job.spec().spread() ? (job.spec().tasks() + 1) / 2 : tasks;
+    return perZone.values().stream().mapToInt(fit -> Math.min(fit, half)).sum() >= tasks;
+  }
+
   /** How many more tasks the job's team may have out; what is delegated counts as running. */
   int withinLimit(Job job, Resources used) {
     PlatformSettings.Team team = teams.get(job.spec().team().value());
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -33,6 +33,11 @@
     return need.allows(type, spot) && need.perTask().fitsInto(free);
   }
 
+  /** How many such tasks fit. */
+  int countOf(PlacementNeed need) {
+    return need.allows(type, spot) ? need.perTask().countIn(free) : 0;
+  }
+
   void take(PlacementNeed need) {
     free = free.minus(need.perTask());
     images.add(need.image());
--- a/src/main/java/org/mulleinshift/protocol/JobKind.java
+++ b/src/main/java/org/mulleinshift/protocol/JobKind.java
@@ -4,6 +4,8 @@
 public enum JobKind {
   /** Each task runs to completion. */
   ARRAY("batch"),
+  /** All tasks run at the same time, each to completion. */
+  GANG("gang"),
   /** The tasks run until the job is cancelled. */
   SERVICE("standing");
 
--- a/src/main/java/org/mulleinshift/protocol/WorkerCodec.java
+++ b/src/main/java/org/mulleinshift/protocol/WorkerCodec.java
@@ -63,7 +63,8 @@
   private static WorkerReport.State state(String wire) throws BadMessage {
     return switch (wire) {
       case "fetching" -> WorkerReport.State.FETCHING;
-      case "running", "waiting" -> WorkerReport.State.RUNNING;
+      case "waiting" -> WorkerReport.State.WAITING;
+      case "running" -> WorkerReport.State.RUNNING;
       case "saving" -> WorkerReport.State.SAVING;
       case "exited" -> WorkerReport.State.EXITED;
       default -> throw new BadMessage("phase is not one of the known values");
@@ -77,6 +78,7 @@
       case "halted" -> WorkerReport.Cause.STOPPED;
       case "full" -> WorkerReport.Cause.NO_ROOM;
       case "in_use" -> WorkerReport.Cause.BUSY;
+      case "peers", "incomplete" -> WorkerReport.Cause.GANG_BROKEN;
       case "no_such" -> WorkerReport.Cause.UNKNOWN;
       default -> WorkerReport.Cause.ERROR;
     };
--- a/src/main/java/org/mulleinshift/protocol/WorkerReport.java
+++ b/src/main/java/org/mulleinshift/protocol/WorkerReport.java
@@ -18,6 +18,8 @@
 
   public enum State {
     FETCHING,
+    /** Has its image and waits for the other tasks of its gang. */
+    WAITING,
     RUNNING,
     SAVING,
     EXITED
@@ -30,6 +32,8 @@
     ERROR,
     NO_ROOM,
     BUSY,
+    /** A gang that did not come together, or lost one of its tasks. */
+    GANG_BROKEN,
     UNKNOWN
   }
 
