--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/Network.java
@@ -0,0 +1,57 @@
+package org.mulleinshift.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Carries messages between named hosts; cuts drop them or hold them until the cut is over. */
+final class Network {
+  /** What becomes of messages on a cut link. */
+  enum Mode {
+    DROP,
+    HOLD
+  }
+
+  private record Cut(String one, String other, Mode mode, double until, List<Runnable> held) {
+    boolean covers(String from, String to) {
+      return (matches(one, from) && matches(other, to))
+          || (matches(one, to) && matches(other, from));
+    }
+
+    private static boolean matches(String pattern, String host) {
+      return pattern.equals("*")
+          || (pattern.endsWith("*")
+              ? host.startsWith(pattern.substring(0, pattern.length() - 1))
+              : host.equals(pattern));
+    }
+  }
+
+  private final World world;
+  private final List<Cut> cuts = new ArrayList<>();
+
+  Network(World world) {
+    this.world = world;
+  }
+
+  void cut(String one, String other, Mode mode, double seconds) {
+    Cut cut = new Cut(one, other, mode, world.seconds() + seconds, new ArrayList<>());
+    cuts.add(cut);
+    world.after(
+        seconds,
+        () -> {
+          cuts.remove(cut);
+          cut.held().forEach(Runnable::run);
+        });
+  }
+
+  void deliver(String from, String to, Runnable arrival) {
+    for (Cut cut : cuts) {
+      if (cut.covers(from, to)) {
+        if (cut.mode() == Mode.HOLD) {
+          cut.held().add(arrival);
+        }
+        return;
+      }
+    }
+    world.after(0.001 + 0.002 * world.random(), arrival);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/RuleBook.java
@@ -0,0 +1,217 @@
+package org.mulleinshift.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Watches the rules: it sees what truly runs and what users are truly told. */
+final class RuleBook {
+  /** A job as its user knows it. */
+  static final class TrueJob {
+    final String id;
+    final Map<String, String> fields;
+    final int tasks;
+    final Set<Integer> done = new HashSet<>();
+    boolean submitted;
+    boolean accepted;
+    boolean cancelAsked;
+    Double cancelledAt;
+    String told = "";
+    Double toldDoneAt;
+    Double firstStartAt;
+    double submittedAt;
+    int starts;
+    int polls404;
+
+    TrueJob(String id, Map<String, String> fields) {
+      this.id = id;
+      this.fields = fields;
+      this.tasks = Integer.parseInt(fields.getOrDefault("tasks", "1"));
+    }
+
+    double number(String key, double standard) {
+      return fields.containsKey(key) ? Double.parseDouble(fields.get(key)) : standard;
+    }
+
+    boolean flag(String key, boolean standard) {
+      return fields.containsKey(key) ? fields.get(key).equals("yes") : standard;
+    }
+  }
+
+  private record OnMachine(String machine, String zone) {}
+
+  private final World world;
+  private final Map<String, Double> teamLimits;
+  private final double cancelSeconds;
+  private final Map<String, TrueJob> jobs = new TreeMap<>();
+  private final Map<String, OnMachine> running = new HashMap<>();
+  private final List<String> broken = new ArrayList<>();
+  private int starts;
+
+  RuleBook(World world, Map<String, Double> teamLimits, double cancelSeconds) {
+    this.world = world;
+    this.teamLimits = teamLimits;
+    this.cancelSeconds = cancelSeconds;
+  }
+
+  void add(TrueJob job) {
+    jobs.put(job.id, job);
+  }
+
+  TrueJob job(String id) {
+    return jobs.get(id);
+  }
+
+  List<String> broken() {
+    return broken;
+  }
+
+  int starts() {
+    return starts;
+  }
+
+  private void violated(String rule, String what) {
+    broken.add(String.format("%.3f %s: %s", world.seconds(), rule, what));
+  }
+
+  private static String jobOf(String task) {
+    return task.substring(0, task.lastIndexOf('/'));
+  }
+
+  /** The task has its image and is on the machine from now on. */
+  void started(String task, String machine, String type, String zone, boolean spot) {
+    TrueJob job = jobs.get(jobOf(task));
+    starts++;
+    job.starts++;
+    if (job.firstStartAt == null) {
+      job.firstStartAt = world.seconds();
+    }
+    OnMachine other = running.get(task);
+    if (other != null) {
+      violated("ran_twice", task + " on " + other.machine() + " and " + machine);
+    }
+    String wantedZone = job.fields.get("zone");
+    boolean placed =
+        (wantedZone == null || wantedZone.equals(zone))
+            && (job.flag("spot", true) || !spot)
+            && (!job.fields.containsKey("type") || job.fields.get("type").equals(type))
+            && zonesKept(job, zone);
+    if (!placed) {
+      violated("wrong_place", task + " on " + machine + " in " + zone);
+    }
+    if (job.cancelledAt != null && world.seconds() > job.cancelledAt + cancelSeconds) {
+      violated("ran_cancelled", task + " started on " + machine);
+    }
+    running.put(task, new OnMachine(machine, zone));
+    String team = job.fields.getOrDefault("team", "t");
+    if (teamLimits.getOrDefault(team, 0.0) > 0 && used(team) > teamLimits.get(team) + 1e-6) {
+      violated("quota", team + " uses " + used(team));
+    }
+  }
+
+  private boolean zonesKept(TrueJob job, String zone) {
+    int here = 1;
+    for (Map.Entry<String, OnMachine> entry : running.entrySet()) {
+      if (jobOf(entry.getKey()).equals(job.id)) {
+        boolean same = entry.getValue().zone().equals(zone);
+        if (job.flag("one_zone", false) && !same) {
+          return false;
+        }
+        here += same ? 1 : 0;
+      }
+    }
+    return !job.flag("spread", false) || here <= (job.tasks + 1) / 2;
+  }
+
+  private double used(String team) {
+    double used = 0;
+    for (String task : running.keySet()) {
+      TrueJob job = jobs.get(jobOf(task));
+      if (job.fields.getOrDefault("team", "t").equals(team)) {
+        used += job.number("cpus", 1);
+      }
+    }
+    return used;
+  }
+
+  void completed(String task) {
+    jobs.get(jobOf(task)).done.add(Integer.parseInt(task.substring(task.lastIndexOf('/') + 1)));
+  }
+
+  boolean isCompleted(String task) {
+    return jobs.get(jobOf(task))
+        .done
+        .contains(Integer.parseInt(task.substring(task.lastIndexOf('/') + 1)));
+  }
+
+  void left(String task, String machine) {
+    OnMachine where = running.get(task);
+    if (where != null && where.machine().equals(machine)) {
+      running.remove(task);
+      checkCancelled(task);
+    }
+  }
+
+  private void checkCancelled(String task) {
+    TrueJob job = jobs.get(jobOf(task));
+    if (job.cancelledAt != null && world.seconds() > job.cancelledAt + cancelSeconds + 0.01) {
+      violated("ran_cancelled", task + " was still there");
+    }
+  }
+
+  void end() {
+    running.keySet().forEach(this::checkCancelled);
+  }
+
+  int runningTasks(String job) {
+    return (int) running.keySet().stream().filter(task -> jobOf(task).equals(job)).count();
+  }
+
+  /** What a user reads in an answer about a job. */
+  void told(String id, int status, String phase) {
+    TrueJob job = jobs.get(id);
+    if (status == 404) {
+      if (job != null && job.accepted) {
+        violated("forgotten", id + " got 404");
+      }
+      return;
+    }
+    if (status != 200 && status != 201) {
+      return;
+    }
+    if (job == null || !job.submitted) {
+      violated("invented", id);
+      return;
+    }
+    job.accepted = true;
+    boolean wasOver = job.told.equals("done") || job.told.equals("cancelled");
+    if (wasOver && !phase.equals(job.told)) {
+      violated("went_back", id + " from " + job.told + " to " + phase);
+    }
+    if (phase.equals("cancelled") && !job.cancelAsked) {
+      violated("went_back", id + " cancelled by nobody");
+    }
+    if (phase.equals("done") && job.done.size() < job.tasks) {
+      violated("not_done", id + " has " + job.done.size() + " of " + job.tasks);
+    }
+    if (phase.equals("done") && job.toldDoneAt == null) {
+      job.toldDoneAt = world.seconds();
+    }
+    if (phase.equals("cancelled") && job.cancelledAt == null) {
+      job.cancelledAt = world.seconds();
+    }
+    job.told = phase;
+  }
+
+  /** A repeated submission of an accepted job was refused for good. */
+  void refused(String id, int status) {
+    TrueJob job = jobs.get(id);
+    if (job != null && job.accepted) {
+      violated("forgotten", id + " resubmitted got " + status);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -0,0 +1,499 @@
+package org.mulleinshift.sim;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.settings.SettingsException;
+import org.mulleinshift.settings.Tunables;
+import org.mulleinshift.transport.HttpReply;
+import org.mulleinshift.transport.HttpRequest;
+
+/**
+ * Plays a scenario file against real controllers in a simulated world. {@code docs/scenarios.md}
+ * lists the lines that a file may hold. The rules of the protocol are checked in every scenario.
+ */
+public final class Scenario {
+  private static final double RESTART_SECONDS = 3;
+  private static final InetSocketAddress STATE = new InetSocketAddress("10.2.0.1", 2379);
+  private static final InetSocketAddress CLOUD = new InetSocketAddress("10.2.0.2", 8443);
+
+  private final List<String> failures = new ArrayList<>();
+  private final List<String[]> expectations = new ArrayList<>();
+  private final List<String[]> actions = new ArrayList<>();
+  private final Map<String, Double> teamLimits = new LinkedHashMap<>();
+  private final Map<String, Double> teamGuarantees = new LinkedHashMap<>();
+  private final Map<String, Object> tunables = new HashMap<>();
+  private final List<String> zones = new ArrayList<>(List.of("a", "b"));
+  private final List<SimNode> nodes = new ArrayList<>();
+  private final Map<String, SimUser> users = new HashMap<>();
+  private final World world;
+  private final Network network;
+  private final SimState state;
+  private final SimCloud cloud;
+  private final RuleBook rules;
+  private double reportSeconds = 2;
+  private double leaseSeconds = 12;
+  private double cancelSeconds = 32;
+  private int nodeCount = 3;
+  private double end = 120;
+
+  private Scenario(List<String> lines, long seed) {
+    for (String line : lines) {
+      configure(line);
+    }
+    world = new World(seed);
+    network = new Network(world);
+    state = new SimState(world, 8192, 12);
+    rules = new RuleBook(world, teamLimits, cancelSeconds);
+    cloud = new SimCloud(world, 4, this::startWorker);
+    for (String[] words : actions) {
+      if (words[0].equals("type")) {
+        addType(words);
+      }
+    }
+  }
+
+  /** Plays the file and tells everything that went wrong. */
+  public static List<String> play(Path file, long seed) throws IOException, SettingsException {
+    List<String> lines = new ArrayList<>();
+    for (String line : Files.readAllLines(file)) {
+      String text = line.replaceAll("#.*", "").strip();
+      if (!text.isEmpty()) {
+        lines.add(text);
+      }
+    }
+    Scenario scenario = new Scenario(lines, seed);
+    scenario.run();
+    return scenario.failures;
+  }
+
+  private void configure(String line) {
+    String[] words = line.split("\\s+");
+    switch (words[0]) {
+      case "nodes" -> nodeCount = Integer.parseInt(words[1]);
+      case "zones" -> {
+        zones.clear();
+        zones.addAll(Arrays.asList(words).subList(1, words.length));
+      }
+      case "team" -> {
+        Map<String, String> fields = fields(words, 2);
+        teamLimits.put(words[1], Double.parseDouble(fields.getOrDefault("max", "0")));
+        teamGuarantees.put(words[1], Double.parseDouble(fields.getOrDefault("cpus", "0")));
+      }
+      case "workers" -> {
+        Map<String, String> fields = fields(words, 1);
+        reportSeconds = Double.parseDouble(fields.getOrDefault("report", "2"));
+        leaseSeconds = Double.parseDouble(fields.getOrDefault("lease", "12"));
+        cancelSeconds = Double.parseDouble(fields.getOrDefault("cancel", "32"));
+      }
+      case "set" -> tunables.put(words[1], Double.parseDouble(words[2]));
+      case "run" -> end = Double.parseDouble(words[1]);
+      case "expect" -> expectations.add(words);
+      case "type", "at" -> actions.add(words);
+      default -> throw new IllegalArgumentException(line);
+    }
+  }
+
+  private static Map<String, String> fields(String[] words, int from) {
+    Map<String, String> fields = new HashMap<>();
+    for (int i = from; i < words.length; i++) {
+      int equals = words[i].indexOf('=');
+      fields.put(words[i].substring(0, equals), words[i].substring(equals + 1));
+    }
+    return fields;
+  }
+
+  /** {@code type small cpus=8 ram=32 price=1 spot=0.4 boot=10 a=4/2 b=2}: own/spot by zone. */
+  private void addType(String[] words) {
+    Map<String, String> fields = fields(words, 2);
+    cloud.add(
+        new SimCloud.Type(
+            words[1],
+            Double.parseDouble(fields.get("cpus")),
+            Double.parseDouble(fields.getOrDefault("ram", "1000")),
+            Double.parseDouble(fields.getOrDefault("price", "1")),
+            Double.parseDouble(fields.getOrDefault("spot", "0.4")),
+            Double.parseDouble(fields.getOrDefault("boot", "10"))));
+    for (String zone : zones) {
+      if (fields.containsKey(zone)) {
+        String[] counts = fields.get(zone).split("/");
+        cloud.capacity(words[1], zone, false, Integer.parseInt(counts[0]));
+        if (counts.length > 1) {
+          cloud.capacity(words[1], zone, true, Integer.parseInt(counts[1]));
+        }
+      }
+    }
+  }
+
+  private void run() throws SettingsException {
+    Tunables own = Tunables.of("scenario", tunables);
+    for (int i = 0; i < nodeCount; i++) {
+      nodes.add(new SimNode(world, settings(i), own, new Wires(), (i - 1) * 0.0004));
+    }
+    nodes.forEach(SimNode::start);
+    for (String[] words : actions) {
+      if (words[0].equals("at")) {
+        world.at(
+            Double.parseDouble(words[1]), () -> act(Arrays.copyOfRange(words, 2, words.length)));
+      }
+    }
+    world.runUntil(end);
+    rules.end();
+    failures.addAll(rules.broken());
+    expectations.forEach(this::check);
+  }
+
+  private PlatformSettings settings(int index) {
+    List<PlatformSettings.Member> members = new ArrayList<>();
+    for (int i = 0; i < nodeCount; i++) {
+      if (i != index) {
+        members.add(new PlatformSettings.Member("node-" + i, zoneOf(i), peerAddress(i)));
+      }
+    }
+    List<PlatformSettings.Team> teams = new ArrayList<>();
+    teamLimits.forEach(
+        (name, limit) ->
+            teams.add(new PlatformSettings.Team(name, teamGuarantees.get(name), limit, 0, 0)));
+    return new PlatformSettings(
+        "node-" + index,
+        zoneOf(index),
+        new InetSocketAddress("10.0.0." + (index + 1), 8080),
+        peerAddress(index),
+        members,
+        CLOUD,
+        STATE,
+        new PlatformSettings.Cluster(
+            nodeCount,
+            zones,
+            Duration.ofMillis(5),
+            teams,
+            List.of(),
+            new PlatformSettings.Workers(
+                millis(reportSeconds), millis(leaseSeconds), millis(cancelSeconds)),
+            new PlatformSettings.State(200, 40, 8192, 12),
+            new PlatformSettings.Cloud(8, Duration.ofSeconds(4))),
+        new PlatformSettings.Limits(1, 200, 500));
+  }
+
+  private static Duration millis(double seconds) {
+    return Duration.ofMillis((long) (seconds * 1000));
+  }
+
+  private String zoneOf(int node) {
+    return zones.get(node % zones.size());
+  }
+
+  private static InetSocketAddress peerAddress(int node) {
+    return new InetSocketAddress("10.0.0." + (node + 1), 8081);
+  }
+
+  private SimWorker startWorker(SimCloud.Machine machine) {
+    return new SimWorker(world, rules, new WorkerSide(), machine, reportSeconds, leaseSeconds);
+  }
+
+  private void act(String[] words) {
+    switch (words[0]) {
+      case "job" -> submit(words);
+      case "resubmit" -> resubmit(words);
+      case "cancel" -> users.get(words[1]).cancel();
+      case "poll" -> users.computeIfAbsent(words[1], this::stranger);
+      case "ask" -> ask(words);
+      case "crash" -> crash(words);
+      case "stall" -> node(words[1]).stall(Double.parseDouble(words[2]));
+      case "cut" ->
+          network.cut(
+              hostOf(words[1]),
+              hostOf(words[2]),
+              Network.Mode.valueOf(words[4].toUpperCase()),
+              Double.parseDouble(words[3]));
+      case "state" -> actOnState(words);
+      case "cloud" -> actOnCloud(words);
+      case "machine" -> actOnMachine(words);
+      case "unexpected" -> cloud.boot(cloud.type(words[1]), words[2], false);
+      case "say" -> say(words);
+      default -> throw new IllegalArgumentException(String.join(" ", words));
+    }
+  }
+
+  private SimUser stranger(String id) {
+    send(
+        "GET",
+        "/v2/runs/" + id,
+        "",
+        reply -> {
+          if (reply.status() != 404) {
+            failures.add(id + " was never submitted but got " + reply.status());
+          }
+        });
+    return null;
+  }
+
+  /** {@code ask POST /v2/runs 400 {"ref":1}}: some node must answer with this status. */
+  private void ask(String[] words) {
+    String body = String.join(" ", Arrays.copyOfRange(words, 4, words.length));
+    send(
+        words[1],
+        words[2],
+        body.equals("LONG") ? "{\"ref\":\"" + "x".repeat(40_000) + "\"}" : body,
+        reply -> {
+          if (reply.status() != Integer.parseInt(words[3])) {
+            failures.add(String.join(" ", words) + " got " + reply.status() + " " + reply.body());
+          }
+        });
+  }
+
+  private void submit(String[] words) {
+    RuleBook.TrueJob job = new RuleBook.TrueJob(words[1], fields(words, 2));
+    rules.add(job);
+    SimUser user = new SimUser(world, rules, this::send, job);
+    users.put(job.id, user);
+    user.submit();
+  }
+
+  private void resubmit(String[] words) {
+    RuleBook.TrueJob changed = new RuleBook.TrueJob(words[1], fields(words, 2));
+    String body = new SimUser(world, rules, this::send, changed).body();
+    users.get(words[1]).resubmit(body);
+  }
+
+  private void crash(String[] words) {
+    double pause = words.length > 2 ? Double.parseDouble(words[2]) : RESTART_SECONDS;
+    List<SimNode> hit = words[1].equals("all") ? nodes : List.of(node(words[1]));
+    for (SimNode node : hit) {
+      node.kill();
+      world.after(pause, node::start);
+    }
+  }
+
+  private SimNode node(String name) {
+    String label = hostOf(name);
+    return nodes.stream().filter(node -> node.label().equals(label)).findFirst().orElseThrow();
+  }
+
+  /** Roles are resolved when the line is played. */
+  private String hostOf(String name) {
+    if (name.equals("leader")) {
+      return state.dump().containsKey("c/leader")
+          ? state.dump().get("c/leader").path("node").asText()
+          : "node-0";
+    }
+    if (name.startsWith("holder-of-")) {
+      String key = "c/g/" + name.substring("holder-of-".length()) + "-0";
+      return state.dump().containsKey(key)
+          ? state.dump().get(key).path("holder").asText()
+          : "node-0";
+    }
+    return name;
+  }
+
+  private void actOnState(String[] words) {
+    switch (words[1]) {
+      case "outage" -> state.outage(Double.parseDouble(words[2]));
+      case "refuse" -> state.refuse(hostOf(words[2]), Double.parseDouble(words[3]));
+      case "mute" -> state.mute(hostOf(words[2]), Double.parseDouble(words[3]));
+      case "compact" -> state.compact();
+      default -> throw new IllegalArgumentException(words[1]);
+    }
+  }
+
+  private void actOnCloud(String[] words) {
+    switch (words[1]) {
+      case "outage" -> cloud.outage(Double.parseDouble(words[2]));
+      case "stuck" -> cloud.stuckBoots(Double.parseDouble(words[2]));
+      case "capacity" -> {
+        cloud.capacity(words[2], words[3], false, Integer.parseInt(words[4]));
+        cloud.capacity(words[2], words[3], true, 0);
+      }
+      default -> throw new IllegalArgumentException(words[1]);
+    }
+  }
+
+  private void actOnMachine(String[] words) {
+    List<SimCloud.Machine> up = cloud.up();
+    List<SimCloud.Machine> hit =
+        words[1].equals("all") ? up : List.of(up.get(Integer.parseInt(words[1]) % up.size()));
+    for (SimCloud.Machine machine : hit) {
+      switch (words[2]) {
+        case "hang" -> machine.worker.hang(Double.parseDouble(words[3]));
+        case "kill" -> cloud.remove(machine);
+        case "sick" -> machine.worker.sick();
+        case "slow" -> machine.worker.slow(Double.parseDouble(words[3]));
+        case "recall" -> {
+          double notice = Double.parseDouble(words[3]);
+          machine.worker.recall(notice);
+          world.after(notice, () -> cloud.remove(machine));
+        }
+        default -> throw new IllegalArgumentException(words[2]);
+      }
+    }
+  }
+
+  /** {@code say node-0 BYTES}: a peer frame that no peer of ours would send. */
+  private void say(String[] words) {
+    node(words[1]).onFrame(words[2].getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  private void send(String method, String path, String body, Consumer<HttpReply> reply) {
+    List<SimNode> alive = nodes.stream().filter(SimNode::alive).toList();
+    if (alive.isEmpty()) {
+      reply.accept(new HttpReply(0, ""));
+      return;
+    }
+    SimNode node = alive.get((int) (world.random() * alive.size()));
+    network.deliver(
+        "users",
+        node.label(),
+        () ->
+            node.request(
+                method,
+                path,
+                body,
+                answer -> network.deliver(node.label(), "users", () -> reply.accept(answer))));
+  }
+
+  private void check(String[] words) {
+    String line = String.join(" ", words);
+    double limit = words.length > 3 ? Double.parseDouble(words[words.length - 1]) : end;
+    switch (words[1]) {
+      case "done" -> {
+        RuleBook.TrueJob job = rules.job(words[2]);
+        if (job.toldDoneAt == null || job.toldDoneAt > limit) {
+          failures.add(line + ": told " + job.told + " at " + job.toldDoneAt);
+        }
+      }
+      case "cancelled" -> {
+        RuleBook.TrueJob job = rules.job(words[2]);
+        if (job.cancelledAt == null || job.cancelledAt > limit) {
+          failures.add(line + ": told " + job.told);
+        }
+      }
+      case "started" -> {
+        RuleBook.TrueJob job = rules.job(words[2]);
+        if (job.firstStartAt == null || job.firstStartAt > limit) {
+          failures.add(line + ": started at " + job.firstStartAt);
+        }
+      }
+      case "starts" -> atMost(line, rules.job(words[2]).starts, limit);
+      case "machines" -> atMost(line, cloud.existing().size(), Double.parseDouble(words[2]));
+      case "rented" -> atMost(line, cloud.rented(), Double.parseDouble(words[2]));
+      case "running" -> {
+        if (rules.runningTasks(words[2]) < limit) {
+          failures.add(line + ": " + rules.runningTasks(words[2]));
+        }
+      }
+      case "writes" -> atMost(line, state.writes(), Double.parseDouble(words[2]));
+      case "keys" ->
+          atMost(
+              line,
+              (int) state.dump().keySet().stream().filter(k -> k.startsWith(words[2])).count(),
+              limit);
+      default -> throw new IllegalArgumentException(line);
+    }
+  }
+
+  private void atMost(String line, double value, double limit) {
+    if (value > limit) {
+      failures.add(line + ": " + value);
+    }
+  }
+
+  private final class Wires implements SimNode.Outside {
+    @Override
+    public void call(
+        SimNode from, InetSocketAddress target, HttpRequest request, Consumer<HttpReply> reply) {
+      String host = hostName(target);
+      network.deliver(
+          from.label(),
+          host,
+          () ->
+              arrive(
+                  from.label(),
+                  host,
+                  target,
+                  request,
+                  answer -> network.deliver(host, from.label(), () -> reply.accept(answer))));
+    }
+
+    private String hostName(InetSocketAddress target) {
+      if (target.equals(STATE)) {
+        return "state";
+      }
+      return target.equals(CLOUD) ? "cloud" : "worker";
+    }
+
+    private void arrive(
+        String from,
+        String host,
+        InetSocketAddress target,
+        HttpRequest request,
+        Consumer<HttpReply> reply) {
+      if (host.equals("state")) {
+        state.handle(from, request, reply);
+      } else if (host.equals("cloud")) {
+        cloud.handle(request, reply);
+      } else {
+        SimCloud.Machine machine = cloud.byAddress(target.getHostString() + ":" + target.getPort());
+        if (machine != null && machine.exists() && machine.worker != null) {
+          machine.worker.direct(request, reply);
+        }
+      }
+    }
+
+    @Override
+    public void peer(SimNode from, String label, byte[] frame) {
+      network.deliver(
+          from.label(),
+          label,
+          () ->
+              nodes.stream()
+                  .filter(node -> node.label().equals(label) && node.alive())
+                  .forEach(node -> node.onFrame(frame)));
+    }
+  }
+
+  private final class WorkerSide implements SimWorker.Nodes {
+    @Override
+    public int count() {
+      return nodes.size();
+    }
+
+    @Override
+    public int indexOf(String label) {
+      for (int i = 0; i < nodes.size(); i++) {
+        if (nodes.get(i).label().equals(label)) {
+          return i;
+        }
+      }
+      return -1;
+    }
+
+    @Override
+    public void checkin(SimWorker worker, int node, String body, Consumer<HttpReply> reply) {
+      SimNode target = nodes.get(node);
+      network.deliver(
+          "worker",
+          target.label(),
+          () -> {
+            if (!target.alive()) {
+              network.deliver(target.label(), "worker", () -> reply.accept(new HttpReply(0, "")));
+              return;
+            }
+            target.request(
+                "POST",
+                "/checkin",
+                body,
+                answer -> network.deliver(target.label(), "worker", () -> reply.accept(answer)));
+          });
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/SimCloud.java
@@ -0,0 +1,239 @@
+package org.mulleinshift.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.mulleinshift.transport.HttpReply;
+import org.mulleinshift.transport.HttpRequest;
+
+/** A stand-in for the cloud. */
+final class SimCloud {
+  /** A machine type as the scenario gives it. */
+  record Type(String name, double cpus, double ram, double price, double spotPrice, double boot) {}
+
+  /** A rented machine. */
+  static final class Machine {
+    final String name;
+    final String address;
+    final String type;
+    final String zone;
+    final boolean spot;
+    final double cpus;
+    final double createdAt;
+    double goneAt = Double.MAX_VALUE;
+    double upAt = Double.MAX_VALUE;
+    SimWorker worker;
+
+    Machine(String name, String address, Type type, String zone, boolean spot, double createdAt) {
+      this.name = name;
+      this.address = address;
+      this.type = type.name();
+      this.zone = zone;
+      this.spot = spot;
+      this.cpus = type.cpus();
+      this.createdAt = createdAt;
+    }
+
+    boolean exists() {
+      return goneAt == Double.MAX_VALUE;
+    }
+  }
+
+  private final World world;
+  private final double lag;
+  private final Function<Machine, SimWorker> starter;
+  private final ObjectMapper json = new ObjectMapper();
+  private final Map<String, Type> types = new LinkedHashMap<>();
+  private final Map<String, Integer> capacity = new HashMap<>();
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Map<String, HttpReply> answered = new HashMap<>();
+  private double outageUntil;
+  private double stuckUntil;
+  private int refusals;
+
+  SimCloud(World world, double lag, Function<Machine, SimWorker> starter) {
+    this.world = world;
+    this.lag = lag;
+    this.starter = starter;
+  }
+
+  void add(Type type) {
+    types.put(type.name(), type);
+  }
+
+  void capacity(String type, String zone, boolean spot, int count) {
+    capacity.put(type + " " + zone + " " + spot, count);
+  }
+
+  void outage(double seconds) {
+    outageUntil = world.seconds() + seconds;
+  }
+
+  /** Machines rented from now on never come up. */
+  void stuckBoots(double seconds) {
+    stuckUntil = world.seconds() + seconds;
+  }
+
+  List<Machine> existing() {
+    return machines.values().stream().filter(Machine::exists).toList();
+  }
+
+  List<Machine> up() {
+    return existing().stream().filter(machine -> machine.worker != null).toList();
+  }
+
+  Machine byAddress(String address) {
+    return machines.values().stream()
+        .filter(machine -> machine.address.equals(address))
+        .findFirst()
+        .orElse(null);
+  }
+
+  int rented() {
+    return machines.size();
+  }
+
+  int refusals() {
+    return refusals;
+  }
+
+  void handle(HttpRequest request, java.util.function.Consumer<HttpReply> reply) {
+    if (world.seconds() < outageUntil) {
+      reply.accept(new HttpReply(503, "{\"error\":\"trouble\"}"));
+      return;
+    }
+    try {
+      reply.accept(answer(request));
+    } catch (IOException e) {
+      reply.accept(new HttpReply(400, "{}"));
+    }
+  }
+
+  private HttpReply answer(HttpRequest request) throws IOException {
+    if (request.path().equals("/catalog")) {
+      return catalog();
+    }
+    if (request.path().startsWith("/rentals?")) {
+      return list();
+    }
+    JsonNode body = json.readTree(request.body().orElse("{}"));
+    if (request.path().equals("/rentals/delete")) {
+      body.path("hosts").forEach(host -> remove(machines.get(host.asText())));
+      return new HttpReply(200, "{}");
+    }
+    return rent(body);
+  }
+
+  private HttpReply catalog() {
+    ObjectNode node = json.createObjectNode();
+    var list = node.putArray("builds");
+    for (Type type : types.values()) {
+      ObjectNode item = list.addObject();
+      item.put("label", type.name()).put("cpus", type.cpus()).put("cards", 0);
+      item.put("ram_gb", type.ram()).put("local_gb", 100).put("pull_gb_per_s", 1);
+      item.put("rate", type.price()).put("market_price", type.spotPrice());
+      item.put("startup_s", type.boot());
+      var zones = item.putArray("yards");
+      capacity.keySet().stream()
+          .filter(key -> key.startsWith(type.name() + " "))
+          .map(key -> key.split(" ")[1])
+          .distinct()
+          .sorted()
+          .forEach(zones::add);
+    }
+    return new HttpReply(200, node.toString());
+  }
+
+  private HttpReply rent(JsonNode body) {
+    String hire = body.path("hire").asText();
+    if (answered.containsKey(hire)) {
+      return answered.get(hire);
+    }
+    Type type = types.get(body.path("build").asText());
+    String zone = body.path("yard").asText();
+    boolean spot = body.path("loaner").asBoolean();
+    String key = type.name() + " " + zone + " " + spot;
+    long taken =
+        existing().stream().filter(m -> key.equals(m.type + " " + m.zone + " " + m.spot)).count();
+    int free = (int) (capacity.getOrDefault(key, 0) - taken);
+    int count = Math.min(free, body.path("how_many").asInt());
+    if (count <= 0) {
+      refusals++;
+      return new HttpReply(503, "{\"error\":\"no capacity\"}");
+    }
+    ObjectNode node = json.createObjectNode();
+    var hosts = node.putArray("hosts");
+    for (int i = 0; i < count; i++) {
+      hosts.add(boot(type, zone, spot).name);
+    }
+    HttpReply reply = new HttpReply(200, node.toString());
+    answered.put(hire, reply);
+    return reply;
+  }
+
+  /** A machine that some request made. */
+  Machine boot(Type type, String zone, boolean spot) {
+    int number = machines.size() + 1;
+    Machine machine =
+        new Machine(
+            String.format("i-%06d", number),
+            "10.1." + number / 200 + "." + (number % 200 + 1) + ":9000",
+            type,
+            zone,
+            spot,
+            world.seconds());
+    machines.put(machine.name, machine);
+    if (world.seconds() >= stuckUntil) {
+      world.after(
+          type.boot() * (0.7 + 0.6 * world.random()),
+          () -> {
+            if (machine.exists()) {
+              machine.upAt = world.seconds();
+              machine.worker = starter.apply(machine);
+            }
+          });
+    }
+    return machine;
+  }
+
+  Type type(String name) {
+    return types.get(name);
+  }
+
+  void remove(Machine machine) {
+    if (machine != null && machine.exists()) {
+      machine.goneAt = world.seconds();
+      if (machine.worker != null) {
+        machine.worker.vanish();
+      }
+    }
+  }
+
+  private HttpReply list() {
+    double moment = world.seconds() - lag * (1 + world.random());
+    ObjectNode node = json.createObjectNode();
+    List<Machine> listed = new ArrayList<>();
+    for (Machine machine : machines.values()) {
+      if (machine.createdAt <= moment && machine.goneAt > moment) {
+        listed.add(machine);
+      }
+    }
+    var hosts = node.putArray("hosts");
+    for (Machine machine : listed) {
+      ObjectNode item = hosts.addObject();
+      item.put("ref", machine.name).put("addr", machine.address).put("build", machine.type);
+      item.put("yard", machine.zone).put("loaner", machine.spot);
+      item.put("phase", machine.upAt <= moment ? "running" : "booting");
+      item.put("held_s", moment - machine.createdAt);
+    }
+    node.put("more", false);
+    return new HttpReply(200, node.toString());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/SimNode.java
@@ -0,0 +1,184 @@
+package org.mulleinshift.sim;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.mulleinshift.coordination.Controller;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.settings.Tunables;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.HttpCaller;
+import org.mulleinshift.transport.HttpReply;
+import org.mulleinshift.transport.HttpRequest;
+import org.mulleinshift.transport.Responder;
+import org.mulleinshift.transport.SteadyTime;
+
+/** A controller in the simulated world: the real one, with its ways out replaced. */
+final class SimNode {
+  /** Where a call of the node goes. */
+  interface Outside {
+    void call(
+        SimNode from, InetSocketAddress target, HttpRequest request, Consumer<HttpReply> reply);
+
+    void peer(SimNode from, String label, byte[] frame);
+  }
+
+  private final World world;
+  private final PlatformSettings settings;
+  private final Tunables tunables;
+  private final Outside outside;
+  private final double drift;
+  private Controller controller;
+  private int life;
+  private double stalledUntil;
+
+  SimNode(
+      World world, PlatformSettings settings, Tunables tunables, Outside outside, double drift) {
+    this.world = world;
+    this.settings = settings;
+    this.tunables = tunables;
+    this.outside = outside;
+    this.drift = drift;
+  }
+
+  String label() {
+    return settings.label();
+  }
+
+  boolean alive() {
+    return controller != null;
+  }
+
+  void start() {
+    life++;
+    Loop loop = new Loop(life);
+    HttpCaller caller =
+        (target, request, reply) -> {
+          int mine = life;
+          boolean[] answered = new boolean[1];
+          Consumer<HttpReply> once =
+              value -> {
+                if (!answered[0]) {
+                  answered[0] = true;
+                  loop.post(() -> reply.accept(value));
+                }
+              };
+          outside.call(this, target, request, once);
+          world.after(
+              request.deadline().toNanos() / 1e9,
+              () -> {
+                if (mine == life) {
+                  once.accept(HttpReply.NONE);
+                }
+              });
+        };
+    controller =
+        new Controller(
+            settings,
+            tunables,
+            new Controller.Outside(
+                loop,
+                caller,
+                caller,
+                caller,
+                caller,
+                (label, frame) -> outside.peer(this, label, frame)));
+    loop.post(controller::start);
+  }
+
+  void kill() {
+    life++;
+    controller = null;
+  }
+
+  /** The process gets no processor for a while: everything happens late. */
+  void stall(double seconds) {
+    stalledUntil = world.seconds() + seconds;
+  }
+
+  void onFrame(byte[] frame) {
+    inside(() -> controller.onFrame(frame));
+  }
+
+  void request(String method, String path, String body, Consumer<HttpReply> reply) {
+    inside(
+        () ->
+            controller.handle(
+                method,
+                path,
+                body,
+                new Responder() {
+                  @Override
+                  public void respond(int status, String text) {
+                    reply.accept(new HttpReply(status, text));
+                  }
+
+                  @Override
+                  public void respondLater(int status, String text, int seconds) {
+                    respond(status, text);
+                  }
+                }));
+  }
+
+  private void inside(Runnable step) {
+    if (controller != null) {
+      int mine = life;
+      run(mine, step);
+    }
+  }
+
+  private void run(int mine, Runnable step) {
+    if (mine != life || controller == null) {
+      return;
+    }
+    if (world.seconds() < stalledUntil) {
+      world.after(stalledUntil - world.seconds() + 1e-6, () -> run(mine, step));
+    } else {
+      step.run();
+    }
+  }
+
+  private final class Loop implements EventLoop {
+    private final int mine;
+
+    Loop(int mine) {
+      this.mine = mine;
+    }
+
+    @Override
+    public void post(Runnable step) {
+      world.after(0.0001, () -> run(mine, step));
+    }
+
+    @Override
+    public Timer after(Duration delay, Runnable step) {
+      boolean[] cancelled = new boolean[1];
+      world.after(
+          delay.toNanos() / 1e9,
+          () ->
+              run(
+                  mine,
+                  () -> {
+                    if (!cancelled[0]) {
+                      step.run();
+                    }
+                  }));
+      return () -> cancelled[0] = true;
+    }
+
+    @Override
+    public SteadyTime now() {
+      return new SteadyTime((long) (world.nanos() * (1 + drift)));
+    }
+
+    @Override
+    public long wallMillis() {
+      return 1_700_000_000_000L + world.nanos() / 1_000_000;
+    }
+
+    @Override
+    public double random() {
+      return world.random();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/SimState.java
@@ -0,0 +1,334 @@
+package org.mulleinshift.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.mulleinshift.transport.HttpReply;
+import org.mulleinshift.transport.HttpRequest;
+
+/** A stand-in for the state service. */
+final class SimState {
+  private record Entry(JsonNode value, long stamp, Long hold) {}
+
+  private static final class Hold {
+    private final double ttl;
+    private double end;
+
+    Hold(double ttl, double end) {
+      this.ttl = ttl;
+      this.end = end;
+    }
+  }
+
+  private record Watch(
+      String node, String prefix, long from, double end, Consumer<HttpReply> reply) {}
+
+  private static final int KEPT_CHANGES = 10_000;
+
+  private final World world;
+  private final ObjectMapper json = new ObjectMapper();
+  private final TreeMap<String, Entry> keys = new TreeMap<>();
+  private final Map<Long, Hold> holds = new HashMap<>();
+  private final List<ObjectNode> changes = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private final Map<String, Double> refusedUntil = new HashMap<>();
+  private final Map<String, Double> mutedUntil = new HashMap<>();
+  private final int valueBytes;
+  private final int txnOps;
+  private double outageUntil;
+  private long epoch;
+  private long nextHold = 1;
+  private long forgottenChanges;
+  private int writes;
+
+  SimState(World world, int valueBytes, int txnOps) {
+    this.world = world;
+    this.valueBytes = valueBytes;
+    this.txnOps = txnOps;
+    world.after(0.05, this::expire);
+  }
+
+  void outage(double seconds) {
+    outageUntil = world.seconds() + seconds;
+    world.after(
+        seconds, () -> holds.values().forEach(hold -> hold.end = world.seconds() + hold.ttl));
+  }
+
+  void refuse(String node, double seconds) {
+    refusedUntil.put(node, world.seconds() + seconds);
+  }
+
+  /** Requests of the node are carried out, but it hears no answer to changes. */
+  void mute(String node, double seconds) {
+    mutedUntil.put(node, world.seconds() + seconds);
+  }
+
+  /** Forgets the history, so that open watches must read again. */
+  void compact() {
+    forgottenChanges = epoch;
+    changes.clear();
+  }
+
+  int writes() {
+    return writes;
+  }
+
+  Map<String, JsonNode> dump() {
+    Map<String, JsonNode> copy = new LinkedHashMap<>();
+    keys.forEach((key, entry) -> copy.put(key, entry.value()));
+    return copy;
+  }
+
+  private boolean unavailable(String node) {
+    return world.seconds() < outageUntil || world.seconds() < refusedUntil.getOrDefault(node, 0.0);
+  }
+
+  void handle(String node, HttpRequest request, Consumer<HttpReply> reply) {
+    if (unavailable(node)) {
+      reply.accept(new HttpReply(503, "{}"));
+      return;
+    }
+    if (request.path().startsWith("/changes")) {
+      watch(node, request.path(), reply);
+      return;
+    }
+    HttpReply answer;
+    try {
+      answer = answer(request);
+    } catch (IOException e) {
+      answer = new HttpReply(400, "{}");
+    }
+    boolean muted =
+        world.seconds() < mutedUntil.getOrDefault(node, 0.0) && request.path().equals("/commit");
+    if (!muted) {
+      reply.accept(answer);
+    }
+  }
+
+  private HttpReply answer(HttpRequest request) throws IOException {
+    String path = request.path();
+    if (path.startsWith("/keys/")) {
+      return get(path.substring("/keys/".length()));
+    }
+    if (path.startsWith("/keys?")) {
+      return range(query(path));
+    }
+    if (path.equals("/commit")) {
+      return commit(json.readTree(request.body().orElse("{}")));
+    }
+    if (path.equals("/holds")) {
+      double ttl = json.readTree(request.body().orElse("{}")).path("ttl_ms").asDouble() / 1000;
+      holds.put(nextHold, new Hold(ttl, world.seconds() + ttl));
+      return new HttpReply(200, "{\"hold\":" + nextHold++ + "}");
+    }
+    if (path.startsWith("/holds/")) {
+      return hold(request.method(), path.substring("/holds/".length()));
+    }
+    return new HttpReply(404, "{}");
+  }
+
+  private static Map<String, String> query(String path) {
+    Map<String, String> values = new HashMap<>();
+    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+      int equals = part.indexOf('=');
+      values.put(part.substring(0, equals), part.substring(equals + 1));
+    }
+    return values;
+  }
+
+  private HttpReply get(String key) {
+    Entry entry = keys.get(key);
+    if (entry == null) {
+      return new HttpReply(404, "{\"epoch\":" + epoch + "}");
+    }
+    return new HttpReply(200, item(key, entry).toString());
+  }
+
+  private ObjectNode item(String key, Entry entry) {
+    ObjectNode node = json.createObjectNode();
+    node.put("k", key);
+    node.set("value", entry.value());
+    node.put("stamp", entry.stamp());
+    return node;
+  }
+
+  private HttpReply range(Map<String, String> query) {
+    String prefix = query.getOrDefault("starts", "");
+    String from = query.getOrDefault("from", "");
+    int limit = Integer.parseInt(query.getOrDefault("limit", "1000"));
+    ObjectNode node = json.createObjectNode();
+    ArrayNode rows = node.putArray("rows");
+    boolean more = false;
+    for (Map.Entry<String, Entry> entry : keys.tailMap(prefix, true).entrySet()) {
+      if (!entry.getKey().startsWith(prefix)) {
+        break;
+      }
+      if (entry.getKey().compareTo(from) > 0) {
+        if (rows.size() == limit) {
+          more = true;
+          break;
+        }
+        rows.add(item(entry.getKey(), entry.getValue()));
+      }
+    }
+    node.put("more", more);
+    node.put("epoch", epoch);
+    return new HttpReply(200, node.toString());
+  }
+
+  private HttpReply commit(JsonNode body) {
+    JsonNode wanted = body.path("writes");
+    if (wanted.size() > txnOps || body.path("guards").size() > 4 * txnOps) {
+      return new HttpReply(400, "{\"error\":\"too many operations\"}");
+    }
+    for (JsonNode write : wanted) {
+      if (write.path("value").toString().length() > valueBytes) {
+        return new HttpReply(400, "{\"error\":\"value too long\"}");
+      }
+      if (write.has("hold") && !holds.containsKey(write.get("hold").asLong())) {
+        return new HttpReply(400, "{\"error\":\"no such lease\"}");
+      }
+    }
+    for (JsonNode guard : body.path("guards")) {
+      Entry entry = keys.get(guard.path("k").asText());
+      if ((entry == null ? 0 : entry.stamp()) != guard.path("stamp").asLong()) {
+        return new HttpReply(409, "{\"failed\":[],\"epoch\":" + epoch + "}");
+      }
+    }
+    if (wanted.size() > 0) {
+      epoch++;
+      wanted.forEach(this::apply);
+      wakeWatches();
+    }
+    return new HttpReply(200, "{\"epoch\":" + epoch + "}");
+  }
+
+  private void apply(JsonNode write) {
+    writes++;
+    if (write.has("set")) {
+      String key = write.get("set").asText();
+      Long hold = write.has("hold") ? write.get("hold").asLong() : null;
+      keys.put(key, new Entry(write.get("value"), epoch, hold));
+      ObjectNode change = json.createObjectNode();
+      change.put("set", key);
+      change.set("value", write.get("value"));
+      change.put("stamp", epoch);
+      changes.add(change);
+    } else {
+      remove(write.get("delete").asText());
+    }
+    while (changes.size() > KEPT_CHANGES) {
+      forgottenChanges = changes.remove(0).get("stamp").asLong();
+    }
+  }
+
+  private void remove(String key) {
+    if (keys.remove(key) != null) {
+      ObjectNode change = json.createObjectNode();
+      change.put("delete", key);
+      change.put("stamp", epoch);
+      changes.add(change);
+    }
+  }
+
+  private HttpReply hold(String method, String rest) {
+    long id = Long.parseLong(rest.split("/")[0]);
+    Hold hold = holds.get(id);
+    if (hold == null) {
+      return new HttpReply(404, "{}");
+    }
+    if (method.equals("DELETE")) {
+      end(id);
+    } else {
+      hold.end = world.seconds() + hold.ttl;
+    }
+    return new HttpReply(200, "{}");
+  }
+
+  private void end(long id) {
+    holds.remove(id);
+    List<String> gone = new ArrayList<>();
+    keys.forEach(
+        (key, entry) -> {
+          if (entry.hold() != null && entry.hold() == id) {
+            gone.add(key);
+          }
+        });
+    if (!gone.isEmpty()) {
+      epoch++;
+      gone.forEach(this::remove);
+      wakeWatches();
+    }
+  }
+
+  private void expire() {
+    world.after(0.05, this::expire);
+    if (world.seconds() < outageUntil) {
+      return;
+    }
+    Set<Long> over = new HashSet<>();
+    holds.forEach(
+        (id, hold) -> {
+          if (hold.end < world.seconds()) {
+            over.add(id);
+          }
+        });
+    over.forEach(this::end);
+    wakeWatches();
+  }
+
+  private void watch(String node, String path, Consumer<HttpReply> reply) {
+    Map<String, String> query = query(path);
+    long from = Long.parseLong(query.get("from"));
+    if (from < forgottenChanges) {
+      reply.accept(new HttpReply(410, "{}"));
+      return;
+    }
+    double wait = Double.parseDouble(query.getOrDefault("hold_ms", "0")) / 1000;
+    watches.add(new Watch(node, query.get("starts"), from, world.seconds() + wait, reply));
+    wakeWatches();
+  }
+
+  private void wakeWatches() {
+    List<Watch> ready = new ArrayList<>();
+    for (Watch watch : watches) {
+      boolean due = world.seconds() >= watch.end() || !news(watch).isEmpty();
+      if (due && !unavailable(watch.node())) {
+        ready.add(watch);
+      }
+    }
+    watches.removeAll(ready);
+    for (Watch watch : ready) {
+      ObjectNode node = json.createObjectNode();
+      node.put("epoch", epoch);
+      node.putArray("news").addAll(news(watch));
+      watch.reply().accept(new HttpReply(200, node.toString()));
+    }
+  }
+
+  private List<ObjectNode> news(Watch watch) {
+    List<ObjectNode> found = new ArrayList<>();
+    for (int i = changes.size() - 1; i >= 0; i--) {
+      ObjectNode change = changes.get(i);
+      if (change.get("stamp").asLong() <= watch.from()) {
+        break;
+      }
+      String key = (change.has("set") ? change.get("set") : change.get("delete")).asText();
+      if (key.startsWith(watch.prefix())) {
+        found.add(0, change);
+      }
+    }
+    return found;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/SimUser.java
@@ -0,0 +1,155 @@
+package org.mulleinshift.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.mulleinshift.transport.HttpReply;
+
+/** Submits one job, repeats what failed, polls until it is over, and may cancel it. */
+final class SimUser {
+  /** The way to some healthy node. */
+  interface Nodes {
+    void request(String method, String path, String body, Consumer<HttpReply> reply);
+  }
+
+  private static final double POLL_SECONDS = 5;
+  private static final double GIVE_UP_SECONDS = 60;
+
+  private final World world;
+  private final RuleBook rules;
+  private final Nodes nodes;
+  private final RuleBook.TrueJob job;
+  private final ObjectMapper json = new ObjectMapper();
+  private final List<Integer> statuses = new ArrayList<>();
+  private boolean polling;
+
+  SimUser(World world, RuleBook rules, Nodes nodes, RuleBook.TrueJob job) {
+    this.world = world;
+    this.rules = rules;
+    this.nodes = nodes;
+    this.job = job;
+  }
+
+  List<Integer> statuses() {
+    return statuses;
+  }
+
+  String body() {
+    ObjectNode body = json.createObjectNode();
+    body.put("ref", job.id);
+    body.put("lane", job.fields.getOrDefault("class", "work"));
+    body.put("crew", job.fields.getOrDefault("team", "t"));
+    body.put("shape", job.fields.getOrDefault("kind", "batch"));
+    body.put("urgency", job.fields.getOrDefault("priority", "standard"));
+    body.put("pieces", job.tasks);
+    body.put("cpus", job.number("cpus", 1));
+    body.put("cards", 0.0);
+    body.put("ram_gb", job.number("ram", 1));
+    body.put("bundle", job.fields.getOrDefault("image", "img-1"));
+    body.put("pull_gb", 1.0);
+    if (job.fields.containsKey("type")) {
+      body.putArray("builds").add(job.fields.get("type"));
+    }
+    if (job.fields.containsKey("zone")) {
+      body.put("yard", job.fields.get("zone"));
+    }
+    body.put("same_place", job.flag("one_zone", false));
+    body.put("spread", job.flag("spread", false));
+    body.put("loaner", job.flag("spot", true));
+    body.put("guess_s", job.number("guess", job.number("run", 10)));
+    body.put("snapshot_s", 0.0);
+    body.put("flush_s", 0.0);
+    body.put("due_s", job.number("due", 120));
+    return body.toString();
+  }
+
+  void submit() {
+    job.submitted = true;
+    job.submittedAt = world.seconds();
+    attempt("POST", "/v2/runs", body(), world.seconds());
+  }
+
+  void resubmit(String body) {
+    nodes.request(
+        "POST",
+        "/v2/runs",
+        body,
+        reply -> {
+          statuses.add(reply.status());
+          if (reply.status() == 400 || reply.status() == 422) {
+            rules.refused(job.id, reply.status());
+          } else {
+            hear(reply);
+          }
+        });
+  }
+
+  void cancel() {
+    job.cancelAsked = true;
+    attempt("POST", "/v2/runs/" + job.id + "/withdraw", "", world.seconds());
+  }
+
+  private void attempt(String method, String path, String body, double since) {
+    boolean[] answered = new boolean[1];
+    Runnable again =
+        () -> {
+          if (world.seconds() - since < GIVE_UP_SECONDS) {
+            world.after(1, () -> attempt(method, path, body, since));
+          }
+        };
+    nodes.request(
+        method,
+        path,
+        body,
+        reply -> {
+          if (answered[0]) {
+            return;
+          }
+          answered[0] = true;
+          statuses.add(reply.status());
+          hear(reply);
+          boolean certain = reply.status() == 400 || reply.status() == 422;
+          if (reply.status() == 200 || reply.status() == 201) {
+            startPolling();
+          } else if (!certain) {
+            again.run();
+          }
+        });
+    world.after(
+        5,
+        () -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            again.run();
+          }
+        });
+  }
+
+  private void startPolling() {
+    if (!polling) {
+      polling = true;
+      world.after(POLL_SECONDS * world.random(), this::poll);
+    }
+  }
+
+  private void poll() {
+    // Polls go on after the end: the final state must be kept.
+    world.after(POLL_SECONDS, this::poll);
+    nodes.request("GET", "/v2/runs/" + job.id, "", this::hear);
+  }
+
+  private void hear(HttpReply reply) {
+    String phase = "";
+    try {
+      JsonNode node = json.readTree(reply.body().isEmpty() ? "{}" : reply.body());
+      phase = node.path("phase").asText();
+    } catch (IOException e) {
+      phase = "unreadable";
+    }
+    rules.told(job.id, reply.status(), phase);
+  }
+}
