--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -59,13 +59,15 @@
 
   /** What the leader knows of a machine besides its record. */
   private static final class Tracked {
-    private final SteadyTime rentedAt;
+    private SteadyTime rentedAt;
     private SteadyTime idleSince;
+    private boolean rentSeen;
     private boolean closed;
 
-    Tracked(SteadyTime rentedAt) {
+    Tracked(SteadyTime rentedAt, boolean rentSeen) {
       this.rentedAt = rentedAt;
       this.idleSince = rentedAt;
+      this.rentSeen = rentSeen;
     }
   }
 
@@ -125,7 +127,7 @@
   }
 
   private Tracked track(MachineId machine) {
-    return tracked.computeIfAbsent(machine, key -> new Tracked(loop.now()));
+    return tracked.computeIfAbsent(machine, key -> new Tracked(loop.now(), false));
   }
 
   void onReport(LeaderBlock block) {
@@ -146,7 +148,11 @@
       if (!record.up() && report.get().getPhase().equals(MachinePhase.CONFIRMED.name())) {
         entry.setValue(new MachineRecord(record.type(), record.spot(), true));
         double boot = loop.now().secondsSince(known.rentedAt);
-        bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3);
+        if (known.rentSeen) {
+          // A machine that an earlier leader rented tells nothing until the list gives its age: a
+          // boot time of nearly nothing would end both the walk's horizon and the resizes' spacing.
+          bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3);
+        }
         known.idleSince = loop.now();
         cameUp = true;
         LOG.info("{} is up after {} s", id, Math.round(boot));
@@ -432,7 +438,9 @@
               || wanted.getOrDefault(offer, 0) >= CloudCodec.MOST_RENTED) {
             continue;
           }
-          double cost = type.price(spot) / fit * (1 + 0.001 * machinesIn(zone, wanted));
+          // Large machines are kept for the tasks that need them unless they cost far less.
+          double oversize = 2 - need.perTask().shareOf(type.size());
+          double cost = type.price(spot) / fit * oversize * (1 + 0.001 * machinesIn(zone, wanted));
           if (cost < bestCost) {
             best = offer;
             bestCost = cost;
@@ -540,7 +548,7 @@
       if (!deleted.contains(machine) && !known(machine)) {
         LeaderBlock block = blockWithRoom(rental.zone());
         block.machines().put(machine, new MachineRecord(rental.type(), rental.spot(), false));
-        tracked.put(machine, new Tracked(rental.plannedAt()));
+        tracked.put(machine, new Tracked(rental.plannedAt(), true));
         touched.add(block);
       }
     }
@@ -661,6 +669,11 @@
     if (deleted.contains(machine.id()) || deleting.contains(machine.id())) {
       return;
     }
+    Tracked known = tracked.get(machine.id());
+    if (known != null && !known.rentSeen) {
+      known.rentedAt = loop.now().minus(machine.age());
+      known.rentSeen = true;
+    }
     if (machine.phase() == CloudMachine.Phase.FAILED) {
       giveUp(machine.id(), "has failed");
     } else if (!known(machine.id())) {
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -7,6 +7,9 @@
 
 /** Free room on one machine while a plan is made. */
 final class Room {
+  private static final double SIZE_WEIGHT = 3000;
+  private static final double IMAGE_WEIGHT = 1000;
+
   private final MachineId machine;
   private final MachineTypeId type;
   private final boolean spot;
@@ -47,13 +50,16 @@
     free = free.plus(amount);
   }
 
-  /** Lower is better: a machine that has the image first, then the one that is left fullest. */
+  /**
+   * Lower is better: a machine of little size first, since large ones are what large tasks wait
+   * for; then one that has the image; then the one that is left fullest.
+   */
   double score(PlacementNeed need) {
-    double left = 0;
+    double left = SIZE_WEIGHT * (1 - need.perTask().shareOf(size));
     left += size.cpus() > 0 ? (free.cpus() - need.perTask().cpus()) : 0;
     left += size.gpus() > 0 ? 8 * (free.gpus() - need.perTask().gpus()) : 0;
     left += size.memoryGb() > 0 ? (free.memoryGb() - need.perTask().memoryGb()) / 16 : 0;
-    return left + (images.contains(need.image()) ? 0 : 1000);
+    return left + (images.contains(need.image()) ? 0 : IMAGE_WEIGHT);
   }
 
   MachineId machine() {
--- a/src/main/java/org/mulleinshift/protocol/Resources.java
+++ b/src/main/java/org/mulleinshift/protocol/Resources.java
@@ -23,6 +23,15 @@
         && memoryGb <= room.memoryGb + SLACK;
   }
 
+  /** The largest share that this takes of any amount of the whole. */
+  public double shareOf(Resources whole) {
+    double share = 0;
+    share = whole.cpus > 0 ? Math.max(share, cpus / whole.cpus) : share;
+    share = whole.gpus > 0 ? Math.max(share, gpus / whole.gpus) : share;
+    share = whole.memoryGb > 0 ? Math.max(share, memoryGb / whole.memoryGb) : share;
+    return Math.min(1, share);
+  }
+
   /** How many of these fit into the room. */
   public int countIn(Resources room) {
     double count = 1e6;
