--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -25,6 +25,7 @@
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.protocol.Priority;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec.Item;
@@ -61,13 +62,15 @@
   private static final class Tracked {
     private SteadyTime rentedAt;
     private SteadyTime idleSince;
-    private boolean rentSeen;
+    private final boolean rentSeen;
+    private boolean ageKnown;
     private boolean closed;
 
     Tracked(SteadyTime rentedAt, boolean rentSeen) {
       this.rentedAt = rentedAt;
       this.idleSince = rentedAt;
       this.rentSeen = rentSeen;
+      this.ageKnown = rentSeen;
     }
   }
 
@@ -149,8 +152,9 @@
         entry.setValue(new MachineRecord(record.type(), record.spot(), true));
         double boot = loop.now().secondsSince(known.rentedAt);
         if (known.rentSeen) {
-          // A machine that an earlier leader rented tells nothing until the list gives its age: a
-          // boot time of nearly nothing would end both the walk's horizon and the resizes' spacing.
+          // Only a rental seen from its start tells a boot time. Machines that were up before, or
+          // that an earlier leader rented, would seem to boot in no time: then there is no horizon
+          // and no spacing, and every booting machine seems overdue.
           bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3);
         }
         known.idleSince = loop.now();
@@ -173,6 +177,12 @@
     return bootSeconds.getOrDefault(type.id(), start);
   }
 
+  /** A lucky run of quick boots does not make an ordinary one overdue. */
+  private double bootLongest(MachineType type) {
+    double ordinary = Math.max(bootExpected(type), type.boot().toMillis() / 1000.0);
+    return 10 + ordinary * around.tunables().number(Tunables.Key.BOOT_OVERDUE_FACTOR);
+  }
+
   /** Gives up machines that do not come up, are silent beyond their lease, or fail everything. */
   private void inspectMachines() {
     Duration lease = around.settings().cluster().workers().lease();
@@ -185,10 +195,7 @@
         boolean overdue =
             !entry.getValue().up()
                 && type.isPresent()
-                && loop.now().secondsSince(known.rentedAt)
-                    > 10
-                        + bootExpected(type.get())
-                            * around.tunables().number(Tunables.Key.BOOT_OVERDUE_FACTOR);
+                && loop.now().secondsSince(known.rentedAt) > bootLongest(type.get());
         boolean silent =
             entry.getValue().up()
                 && report.isPresent()
@@ -263,8 +270,14 @@
         demand,
         result.shortage().stream().mapToInt(Walk.Waiting::count).sum());
     boolean spaced = lastResize.isEmpty() || loop.now().secondsSince(lastResize.get()) >= horizon;
-    if (!result.shortage().isEmpty() && spaced) {
-      rentFor(result.shortage());
+    // Exception to the paper's spacing: what urgent jobs lack is rented at once. Booting machines
+    // count as room, so the same shortage is not rented for twice.
+    List<Walk.Waiting> rentable =
+        spaced
+            ? result.shortage()
+            : result.shortage().stream().filter(Walk.Waiting::urgent).toList();
+    if (!rentable.isEmpty()) {
+      rentFor(rentable);
     }
     drain(result.used());
   }
@@ -378,7 +391,10 @@
         use.put(job.spec().team(), used.plus(job.spec().perTask().times(count)));
         groups.add(
             new Walk.Waiting(
-                PlacementNeed.of(job.spec()), around.runTimes().expectedSeconds(job), count));
+                PlacementNeed.of(job.spec()),
+                around.runTimes().expectedSeconds(job),
+                job.spec().priority().above(Priority.NORMAL),
+                count));
       }
     }
     return groups;
@@ -670,9 +686,9 @@
       return;
     }
     Tracked known = tracked.get(machine.id());
-    if (known != null && !known.rentSeen) {
+    if (known != null && !known.ageKnown) {
       known.rentedAt = loop.now().minus(machine.age());
-      known.rentSeen = true;
+      known.ageKnown = true;
     }
     if (machine.phase() == CloudMachine.Phase.FAILED) {
       giveUp(machine.id(), "has failed");
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -219,7 +219,8 @@
       case "state" -> actOnState(words);
       case "cloud" -> actOnCloud(words);
       case "machine" -> actOnMachine(words);
-      case "unexpected" -> cloud.boot(cloud.type(words[1]), words[2], false);
+      case "unexpected" ->
+          cloud.boot(cloud.type(words[1]), words[2], false, Double.parseDouble(words[3]));
       case "say" -> say(words);
       default -> throw new IllegalArgumentException(String.join(" ", words));
     }
--- a/src/test/java/org/mulleinshift/sim/SimCloud.java
+++ b/src/test/java/org/mulleinshift/sim/SimCloud.java
@@ -171,7 +171,7 @@
     ObjectNode node = json.createObjectNode();
     var hosts = node.putArray("hosts");
     for (int i = 0; i < count; i++) {
-      hosts.add(boot(type, zone, spot).name);
+      hosts.add(boot(type, zone, spot, type.boot() * (0.7 + 0.6 * world.random())).name);
     }
     HttpReply reply = new HttpReply(200, node.toString());
     answered.put(hire, reply);
@@ -179,7 +179,7 @@
   }
 
   /** A machine that some request made. */
-  Machine boot(Type type, String zone, boolean spot) {
+  Machine boot(Type type, String zone, boolean spot, double seconds) {
     int number = machines.size() + 1;
     Machine machine =
         new Machine(
@@ -192,7 +192,7 @@
     machines.put(machine.name, machine);
     if (world.seconds() >= stuckUntil) {
       world.after(
-          type.boot() * (0.7 + 0.6 * world.random()),
+          seconds,
           () -> {
             if (machine.exists()) {
               machine.upAt = world.seconds();
