--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -25,7 +25,6 @@
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.MachineTypeId;
-import org.mulleinshift.protocol.Priority;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec.Item;
@@ -270,14 +269,8 @@
         demand,
         result.shortage().stream().mapToInt(Walk.Waiting::count).sum());
     boolean spaced = lastResize.isEmpty() || loop.now().secondsSince(lastResize.get()) >= horizon;
-    // Exception to the paper's spacing: what urgent jobs lack is rented at once. Booting machines
-    // count as room, so the same shortage is not rented for twice.
-    List<Walk.Waiting> rentable =
-        spaced
-            ? result.shortage()
-            : result.shortage().stream().filter(Walk.Waiting::urgent).toList();
-    if (!rentable.isEmpty()) {
-      rentFor(rentable);
+    if (!result.shortage().isEmpty() && spaced) {
+      rentFor(result.shortage());
     }
     drain(result.used());
   }
@@ -391,10 +384,7 @@
         use.put(job.spec().team(), used.plus(job.spec().perTask().times(count)));
         groups.add(
             new Walk.Waiting(
-                PlacementNeed.of(job.spec()),
-                around.runTimes().expectedSeconds(job),
-                job.spec().priority().above(Priority.NORMAL),
-                count));
+                PlacementNeed.of(job.spec()), around.runTimes().expectedSeconds(job), count));
       }
     }
     return groups;
--- a/src/main/java/org/mulleinshift/coordination/Walk.java
+++ b/src/main/java/org/mulleinshift/coordination/Walk.java
@@ -25,13 +25,11 @@
   static final class Waiting {
     private final PlacementNeed need;
     private final double runSeconds;
-    private final boolean urgent;
     private int count;
 
-    Waiting(PlacementNeed need, double runSeconds, boolean urgent, int count) {
+    Waiting(PlacementNeed need, double runSeconds, int count) {
       this.need = need;
       this.runSeconds = runSeconds;
-      this.urgent = urgent;
       this.count = count;
     }
 
@@ -39,10 +37,6 @@
       return need;
     }
 
-    boolean urgent() {
-      return urgent;
-    }
-
     int count() {
       return count;
     }
