--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Headroom.java
@@ -0,0 +1,69 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mulleinshift.protocol.JobSpec;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.transport.SteadyTime;
+
+/**
+ * Room kept free of less urgent work for classes whose tasks must start soon: a share of what their
+ * jobs ask for on average, as long as such jobs keep coming.
+ */
+final class Headroom {
+  private static final double WEIGHT = 0.2;
+
+  /** Tasks for which room is kept. */
+  record Kept(PlacementNeed need, int count) {}
+
+  private static final class Seen {
+    private PlacementNeed need;
+    private double tasks;
+    private SteadyTime lastAt;
+  }
+
+  private final Set<String> classes = new HashSet<>();
+  private final Map<String, Seen> seen = new HashMap<>();
+  private final double share;
+  private final Duration lasting;
+
+  Headroom(List<PlatformSettings.Objective> objectives, double share, Duration lasting) {
+    for (PlatformSettings.Objective objective : objectives) {
+      if (objective.kind().equals("wait")) {
+        objective.jobClass().ifPresent(classes::add);
+      }
+    }
+    this.share = share;
+    this.lasting = lasting;
+  }
+
+  boolean protects(JobSpec spec) {
+    return classes.contains(spec.jobClass());
+  }
+
+  void arrived(JobSpec spec, SteadyTime now) {
+    if (protects(spec)) {
+      Seen known = seen.computeIfAbsent(spec.jobClass(), key -> new Seen());
+      known.tasks =
+          known.need == null ? spec.tasks() : known.tasks * (1 - WEIGHT) + spec.tasks() * WEIGHT;
+      known.need = PlacementNeed.of(spec);
+      known.lastAt = now;
+    }
+  }
+
+  List<Kept> kept(SteadyTime now) {
+    List<Kept> kept = new ArrayList<>();
+    for (Seen known : seen.values()) {
+      int count = (int) Math.round(known.tasks * share);
+      if (count > 0 && now.since(known.lastAt).compareTo(lasting) < 0) {
+        kept.add(new Kept(known.need, count));
+      }
+    }
+    return kept;
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -94,6 +94,7 @@
   private final Map<String, PlatformSettings.Team> teams = new HashMap<>();
   private final Map<MachineId, Integer> failuresInRow = new HashMap<>();
   private final Fleet fleet;
+  private final Headroom headroom;
   private final SteadyTime startedAt;
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
@@ -116,6 +117,11 @@
             around.settings().cluster().state().txnOps(),
             around.resign());
     around.settings().cluster().teams().forEach(team -> teams.put(team.name(), team));
+    this.headroom =
+        new Headroom(
+            around.settings().cluster().objectives(),
+            around.tunables().number(Tunables.Key.HEADROOM_JOBS),
+            around.tunables().seconds(Tunables.Key.HEADROOM_LASTS_S));
     this.fleet = new Fleet(this, around, cloud, term);
   }
 
@@ -236,6 +242,7 @@
     Job job = jobs.get(record.id());
     if (job == null) {
       jobs.put(record.id(), new Job(record));
+      headroom.arrived(record.spec(), loop.now());
     } else if (record.version().compareTo(job.version()) > 0) {
       job.update(record);
       settle(job);
@@ -509,8 +516,15 @@
     Map<BlockId, List<Room>> rooms = rooms();
     Map<TeamId, Resources> inUse = teamUse();
     Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + ++attempts);
-    for (Job job : ranked()) {
-      if (job.state() == Job.State.ACTIVE) {
+    List<Job> order = ranked();
+    for (Job job : order) {
+      if (job.state() == Job.State.ACTIVE && headroom.protects(job.spec())) {
+        delegate(job, rooms, inUse, attempt);
+      }
+    }
+    keepHeadroom(rooms);
+    for (Job job : order) {
+      if (job.state() == Job.State.ACTIVE && !headroom.protects(job.spec())) {
         delegate(job, rooms, inUse, attempt);
       }
     }
@@ -545,6 +559,16 @@
     }
   }
 
+  private void keepHeadroom(Map<BlockId, List<Room>> rooms) {
+    List<Room> all = new ArrayList<>();
+    rooms.values().forEach(all::addAll);
+    for (Headroom.Kept kept : headroom.kept(loop.now())) {
+      for (int i = 0; i < kept.count(); i++) {
+        Placer.choose(kept.need(), all).ifPresent(room -> room.take(kept.need()));
+      }
+    }
+  }
+
   /** A gang starts as a whole: none of its tasks is out, and there is room for all of them. */
   private boolean gangFits(
       Job job, PlacementNeed need, Map<BlockId, List<Room>> rooms, int allowed) {
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -29,6 +29,14 @@
     RETRY_AFTER_S("retry_after_s", 2, 1, 30, "Retry-After of a submission that can't be taken"),
     FAULTY_AFTER("faulty_after", 3, 1, 100, "failures in a row that take a machine out of use"),
     ERROR_PAUSE_S("error_pause_s", 5, 0, 600, "least pause before a failed task is tried again"),
+    HEADROOM_JOBS(
+        "headroom_jobs",
+        1,
+        0,
+        10,
+        "average jobs of a class with a start aim that room is kept for"),
+    HEADROOM_LASTS_S(
+        "headroom_lasts_s", 60, 0, 3600, "how long after the last such job room is still kept"),
     HTTP_THREADS("http_threads", 16, 2, 256, "threads that read requests and write answers");
 
     private final String yaml;
