--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -429,7 +429,7 @@
       if (target.equals(STATE)) {
         return "state";
       }
-      return target.equals(CLOUD) ? "cloud" : "worker";
+      return target.equals(CLOUD) ? "cloud" : "worker-orders";
     }
 
     private void arrive(
