--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -455,6 +455,7 @@
               machine.id(),
               type.get().id(),
               machine.record().spot(),
+              type.get().dearness(machine.record().spot()),
               type.get().size(),
               free,
               images));
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -310,6 +310,7 @@
                         id,
                         record.type(),
                         record.spot(),
+                        type.get().dearness(record.spot()),
                         size,
                         record.up() ? size : Resources.ZERO,
                         new HashSet<>());
@@ -335,6 +336,7 @@
                 new MachineId(rental.name() + "#" + i),
                 rental.type(),
                 rental.spot(),
+                type.dearness(rental.spot()),
                 type.size(),
                 Resources.ZERO,
                 new HashSet<>());
@@ -420,6 +422,7 @@
             new MachineId("new-" + fresh.size()),
             offer.type(),
             offer.spot(),
+            0,
             size,
             size,
             new HashSet<>());
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -696,6 +696,7 @@
                         id,
                         record.type(),
                         record.spot(),
+                        type.get().dearness(record.spot()),
                         type.get().size(),
                         type.get().size().minus(used.getOrDefault(id, Resources.ZERO)),
                         new HashSet<>(report.get().getImages())));
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -9,24 +9,28 @@
 final class Room {
   private static final double SIZE_WEIGHT = 3000;
   private static final double IMAGE_WEIGHT = 1000;
+  private static final double PRICE_WEIGHT = 300;
 
   private final MachineId machine;
   private final MachineTypeId type;
   private final boolean spot;
   private final Resources size;
   private final Set<String> images;
+  private final double dearness;
   private Resources free;
 
   Room(
       MachineId machine,
       MachineTypeId type,
       boolean spot,
+      double dearness,
       Resources size,
       Resources free,
       Set<String> images) {
     this.machine = machine;
     this.type = type;
     this.spot = spot;
+    this.dearness = dearness;
     this.size = size;
     this.free = free;
     this.images = images;
@@ -52,10 +56,11 @@
 
   /**
    * Lower is better: a machine of little size first, since large ones are what large tasks wait
-   * for; then one that has the image; then the one that is left fullest.
+   * for; then one that has the image; then a cheap one, so that dear ones fall idle and are
+   * returned; then the one that is left fullest.
    */
   double score(PlacementNeed need) {
-    double left = SIZE_WEIGHT * (1 - need.perTask().shareOf(size));
+    double left = PRICE_WEIGHT * dearness + SIZE_WEIGHT * (1 - need.perTask().shareOf(size));
     left += size.cpus() > 0 ? (free.cpus() - need.perTask().cpus()) : 0;
     left += size.gpus() > 0 ? 8 * (free.gpus() - need.perTask().gpus()) : 0;
     left += size.memoryGb() > 0 ? (free.memoryGb() - need.perTask().memoryGb()) / 16 : 0;
--- a/src/main/java/org/mulleinshift/protocol/MachineType.java
+++ b/src/main/java/org/mulleinshift/protocol/MachineType.java
@@ -13,6 +13,11 @@
     double spotPrice,
     Duration boot,
     List<ZoneId> zones) {
+  /** By how much of the spot price such a machine costs more than a spot one. */
+  public double dearness(boolean spot) {
+    return spot || spotPrice <= 0 ? 0 : price / spotPrice - 1;
+  }
+
   public double price(boolean spot) {
     return spot ? spotPrice : price;
   }
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -31,7 +31,7 @@
     ERROR_PAUSE_S("error_pause_s", 5, 0, 600, "least pause before a failed task is tried again"),
     HEADROOM_JOBS(
         "headroom_jobs",
-        1,
+        0.5,
         0,
         10,
         "average jobs of a class with a start aim that room is kept for"),
