--- /dev/null
+++ b/src/test/java/org/mulleinshift/CommandLineTest.java
@@ -0,0 +1,92 @@
+package org.mulleinshift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+/** What an operator meets at the command line: each fault is one line naming file and key. */
+final class CommandLineTest {
+  private static final Path GOOD = Path.of("src/main/rehearsal/settings.toml");
+
+  @TempDir private Path folder;
+
+  private record Result(int code, String errors) {}
+
+  private static Result run(String... args) {
+    PrintStream old = System.err;
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    System.setErr(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+    try {
+      int code = new CommandLine(new Main()).execute(args);
+      return new Result(code, bytes.toString(StandardCharsets.UTF_8));
+    } finally {
+      System.setErr(old);
+    }
+  }
+
+  private Path write(String name, String text) throws IOException {
+    return Files.writeString(folder.resolve(name), text);
+  }
+
+  @Test
+  void acceptsGoodSettingsAndIgnoresUnknownFields() throws IOException {
+    Path file = write("extra.toml", "novelty = 3\n" + Files.readString(GOOD));
+    Path yaml = write("ours.yaml", "cycle_ms: 200\n");
+    Result result = run("--check", "--config", file.toString(), "--tunables", yaml.toString());
+    assertEquals(new Result(0, ""), result);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'size = 1','size = 0',cluster.size",
+    "'lease_s = 12.0','lease_s = nan',cluster.workers.lease_s",
+    "'rps = 8.0','',cluster.cloud.rps",
+    "'public_addr = \"127.0.0.1:18470\"','public_addr = \"nowhere\"',public_addr",
+    "'label = \"rehearsal\"','label = 7',label",
+    "'[cluster.state]','[cluster.other]',cluster.state",
+    "'[services]','[services',not valid TOML",
+  })
+  void namesTheFaultOfThePlatformsFile(String good, String bad, String named) throws IOException {
+    Path file = write("bad.toml", Files.readString(GOOD).replace(good, bad));
+    Result result = run("--check", "--config", file.toString());
+    assertEquals(2, result.code());
+    assertTrue(result.errors().startsWith(file + ": "), result.errors());
+    assertTrue(result.errors().contains(named), result.errors());
+    assertEquals(1, result.errors().lines().count(), result.errors());
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'renew_s: 1000',renew_s",
+    "'renew_s: soon',renew_s",
+    "'renew_ms: 3',renew_ms",
+    "'- renew_s',mapping",
+    "'a: [',not valid YAML",
+  })
+  void namesTheFaultOfTheOperatorsFile(String text, String named) throws IOException {
+    Path yaml = write("ours.yaml", text + "\n");
+    Result result = run("--check", "--config", GOOD.toString(), "--tunables", yaml.toString());
+    assertEquals(2, result.code());
+    assertTrue(result.errors().startsWith(yaml + ": "), result.errors());
+    assertTrue(result.errors().contains(named), result.errors());
+    assertEquals(1, result.errors().lines().count(), result.errors());
+  }
+
+  @Test
+  void missingFileEndsWithTwo() {
+    Result result = run("--check", "--config", folder.resolve("none.toml").toString());
+    assertEquals(2, result.code());
+    assertTrue(result.errors().contains("cannot be read"), result.errors());
+  }
+}
