--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -95,6 +95,7 @@
   private final Map<MachineId, Integer> failuresInRow = new HashMap<>();
   private final Fleet fleet;
   private final Headroom headroom;
+  private final Preemption preemption;
   private final SteadyTime startedAt;
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
@@ -122,6 +123,7 @@
             around.settings().cluster().objectives(),
             around.tunables().number(Tunables.Key.HEADROOM_JOBS),
             around.tunables().seconds(Tunables.Key.HEADROOM_LASTS_S));
+    this.preemption = new Preemption(around.tunables().number(Tunables.Key.PREEMPT_RAN_S));
     this.fleet = new Fleet(this, around, cloud, term);
   }
 
@@ -522,6 +524,7 @@
         delegate(job, rooms, inUse, attempt);
       }
     }
+    preempt(order, inUse);
     keepHeadroom(rooms);
     for (Job job : order) {
       if (job.state() == Job.State.ACTIVE && !headroom.protects(job.spec())) {
@@ -559,6 +562,32 @@
     }
   }
 
+  private void preempt(List<Job> order, Map<TeamId, Resources> inUse) {
+    for (Job job : order) {
+      if (!Preemption.mayPreempt(job) || job.waitingCount() == 0) {
+        continue;
+      }
+      Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
+      int wanted = job.waiting(withinLimit(job, used), loop.now()).length;
+      for (Delegation victim :
+          preemption.victims(job, wanted, order, this::canMakeRoom, loop.now())) {
+        victim.requestStop();
+        touch(victim.block());
+      }
+    }
+  }
+
+  private boolean canMakeRoom(Job job, Delegation delegation) {
+    LeaderBlock block = blocks.get(delegation.block());
+    return block != null
+        && delegation.state() != Delegation.State.ENDED
+        && delegation.told()
+        && delegation.machine().isPresent()
+        && zoneAllowed(job, block.zone())
+        && Preemption.onUsableMachine(
+            job, delegation.machine().map(machine -> block.machines().get(machine)));
+  }
+
   private void keepHeadroom(Map<BlockId, List<Room>> rooms) {
     List<Room> all = new ArrayList<>();
     rooms.values().forEach(all::addAll);
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Preemption.java
@@ -0,0 +1,75 @@
+package org.mulleinshift.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiPredicate;
+import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
+import org.mulleinshift.bookkeeping.Delegation;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.protocol.Priority;
+import org.mulleinshift.transport.SteadyTime;
+
+/**
+ * Chooses tasks that give way to a job of higher priority: only such as have run for a short while,
+ * the shortest first, so that little work is lost.
+ */
+final class Preemption {
+  private record Victim(Delegation delegation, double ranSeconds, int makesRoomFor) {}
+
+  private final double mostSeconds;
+
+  Preemption(double mostSeconds) {
+    this.mostSeconds = mostSeconds;
+  }
+
+  /** Tasks whose stop makes room for so many of the job's tasks. */
+  List<Delegation> victims(
+      Job job, int wanted, List<Job> jobs, BiPredicate<Job, Delegation> usable, SteadyTime now) {
+    PlacementNeed need = PlacementNeed.of(job.spec());
+    List<Victim> candidates = new ArrayList<>();
+    int missing = wanted;
+    for (Job other : jobs) {
+      if (!job.spec().priority().above(other.spec().priority())) {
+        continue;
+      }
+      int room = need.perTask().countIn(other.spec().perTask());
+      for (Delegation delegation : other.delegations()) {
+        if (room == 0 || !usable.test(job, delegation)) {
+          continue;
+        }
+        if (delegation.stopRequested()) {
+          // Already giving way: its room is on the way.
+          missing -= room;
+          continue;
+        }
+        double ran = delegation.runningSince().map(now::secondsSince).orElse(0.0);
+        if (ran <= mostSeconds) {
+          candidates.add(new Victim(delegation, ran, room));
+        }
+      }
+    }
+    candidates.sort(Comparator.comparingDouble(Victim::ranSeconds));
+    List<Delegation> chosen = new ArrayList<>();
+    for (Victim victim : candidates) {
+      if (missing <= 0) {
+        break;
+      }
+      chosen.add(victim.delegation());
+      missing -= victim.makesRoomFor();
+    }
+    return chosen;
+  }
+
+  static boolean mayPreempt(Job job) {
+    return job.state() == Job.State.ACTIVE && job.spec().priority().above(Priority.NORMAL);
+  }
+
+  /** On a machine that the preempting job may use. */
+  static boolean onUsableMachine(Job job, Optional<MachineRecord> machine) {
+    return machine
+        .filter(record -> PlacementNeed.of(job.spec()).allows(record.type(), record.spot()))
+        .isPresent();
+  }
+}
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -37,6 +37,12 @@
         "average jobs of a class with a start aim that room is kept for"),
     HEADROOM_LASTS_S(
         "headroom_lasts_s", 60, 0, 3600, "how long after the last such job room is still kept"),
+    PREEMPT_RAN_S(
+        "preempt_ran_s",
+        12,
+        0,
+        86_400,
+        "a task that ran longer does not give way to a more urgent one"),
     HTTP_THREADS("http_threads", 16, 2, 256, "threads that read requests and write answers");
 
     private final String yaml;
