--- a/src/main/java/org/mulleinshift/coordination/Preemption.java
+++ b/src/main/java/org/mulleinshift/coordination/Preemption.java
@@ -16,6 +16,8 @@
  * the shortest first, so that little work is lost.
  */
 final class Preemption {
+  private static final int MOST_ROOM = 2;
+
   private record Victim(Delegation delegation, double ranSeconds, int makesRoomFor) {}
 
   private final double mostSeconds;
@@ -45,7 +47,8 @@
           continue;
         }
         double ran = delegation.runningSince().map(now::secondsSince).orElse(0.0);
-        if (ran <= mostSeconds) {
+        // A large task that gives way to a few small ones loses more than they win.
+        if (ran <= mostSeconds && room <= MOST_ROOM) {
           candidates.add(new Victim(delegation, ran, room));
         }
       }
