--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -255,7 +255,7 @@
     List<Walk.Release> releases = new ArrayList<>();
     Map<MachineId, Room> byMachine = new HashMap<>();
     double horizon = horizon();
-    collectMachines(rooms, releases, byMachine);
+    collectMachines(rooms, releases, byMachine, horizon);
     collectRentals(rooms, releases, horizon);
     collectRunning(byMachine, releases);
     List<Walk.Waiting> waiting = waiting();
@@ -284,7 +284,10 @@
   }
 
   private void collectMachines(
-      List<Room> rooms, List<Walk.Release> releases, Map<MachineId, Room> byMachine) {
+      List<Room> rooms,
+      List<Walk.Release> releases,
+      Map<MachineId, Room> byMachine,
+      double horizon) {
     for (LeaderBlock block : leader.blocks().values()) {
       block
           .machines()
@@ -317,7 +320,11 @@
                 rooms.add(room);
                 byMachine.put(id, room);
                 if (!record.up()) {
-                  releases.add(new Walk.Release(Math.max(0, bootLeft), room, size));
+                  // Within the horizon even if its type boots slower than that: a machine on its
+                  // way
+                  // that is no room is rented for again with every resize.
+                  double at = Math.min(horizon, Math.max(0, bootLeft));
+                  releases.add(new Walk.Release(at, room, size));
                 }
               });
     }
