Builds side by side, a clear line when a port is taken, machines as a state machine that drain

A port that is taken ends a start with one line and exit code 1. Consolidation: the dearest machine whose tasks fit elsewhere takes no new tasks.

--- a/src/main/java/org/mulleinshift/Main.java
+++ b/src/main/java/org/mulleinshift/Main.java
@@ -1,6 +1,7 @@
 package org.mulleinshift;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -32,6 +33,7 @@
     sortOptions = false)
 public final class Main implements Callable<Integer> {
   private static final int BAD_SETTINGS = 2;
+  private static final int CANNOT_LISTEN = 1;
   private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
   @Option(
@@ -79,7 +81,18 @@
       return 0;
     }
     HttpFrontend.configure(settings.limits().sockets());
-    run(settings, tunables);
+    try {
+      run(settings, tunables);
+    } catch (BindException e) {
+      System.err.println(
+          "cannot listen on "
+              + settings.publicAddress()
+              + " and "
+              + settings.peerBind()
+              + ": "
+              + e.getMessage());
+      return CANNOT_LISTEN;
+    }
     return 0;
   }
 
@@ -105,7 +118,10 @@
     target.set(controller);
     HttpFrontend frontend =
         new HttpFrontend(
-            loop, controller, settings.publicAddress(), tunables.count(Tunables.Key.HTTP_THREADS));
+            loop,
+            controller,
+            rehearse ? ANY_PORT : settings.publicAddress(),
+            tunables.count(Tunables.Key.HTTP_THREADS));
     link.start(rehearse ? ANY_PORT : settings.peerBind());
     frontend.start();
     loop.post(controller::start);
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/Machine.java
@@ -0,0 +1,128 @@
+package org.mulleinshift.bookkeeping;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.mulleinshift.transport.SteadyTime;
+
+/** A rented machine in the leader's memory. What is stored of it is its block's record. */
+public final class Machine {
+  /** States of a machine. */
+  public enum State {
+    /** Rented, not yet known to be up. */
+    BOOTING,
+    /** Takes tasks. */
+    UP,
+    /** Takes no new task; goes back when its tasks have ended, unless room runs short before. */
+    DRAINING,
+    /** Is being given back; nothing changes that. */
+    RETURNING
+  }
+
+  private final boolean rentSeen;
+  private SteadyTime rentedAt;
+  private SteadyTime idleSince;
+  private boolean ageKnown;
+  private Optional<SteadyTime> spareSince = Optional.empty();
+  private State state;
+
+  private Machine(SteadyTime rentedAt, boolean rentSeen, State state) {
+    this.rentedAt = rentedAt;
+    this.idleSince = rentedAt;
+    this.rentSeen = rentSeen;
+    this.ageKnown = rentSeen;
+    this.state = state;
+  }
+
+  /** A machine whose rental this leader saw from its start. */
+  public static Machine rented(SteadyTime at) {
+    return new Machine(at, true, State.BOOTING);
+  }
+
+  /** A machine that was there before this leader, or that nobody expected. */
+  public static Machine found(SteadyTime now, boolean up) {
+    return new Machine(now, false, up ? State.UP : State.BOOTING);
+  }
+
+  /** The only place where a machine's state changes. */
+  private void moveTo(State next) {
+    boolean allowed =
+        switch (state) {
+          case BOOTING -> next == State.UP || next == State.RETURNING;
+          case UP -> next == State.DRAINING || next == State.RETURNING;
+          case DRAINING -> next == State.UP || next == State.RETURNING;
+          case RETURNING -> false;
+        };
+    if (!allowed) {
+      throw new IllegalStateException(state + " to " + next);
+    }
+    state = next;
+  }
+
+  /** It has come up; tells how long that took, if its rental was seen. */
+  public Optional<Double> cameUp(SteadyTime now) {
+    idleSince = now;
+    if (state == State.BOOTING) {
+      moveTo(State.UP);
+    }
+    return rentSeen ? Optional.of(now.secondsSince(rentedAt)) : Optional.empty();
+  }
+
+  public void drain() {
+    moveTo(State.DRAINING);
+  }
+
+  public void reopen() {
+    moveTo(State.UP);
+    spareSince = Optional.empty();
+  }
+
+  /** False if it is being returned already. */
+  public boolean giveBack() {
+    if (state == State.RETURNING) {
+      return false;
+    }
+    moveTo(State.RETURNING);
+    return true;
+  }
+
+  /** The cloud's list tells the age of a machine that was found. */
+  public void age(SteadyTime now, Duration age) {
+    if (!ageKnown) {
+      rentedAt = now.minus(age);
+      ageKnown = true;
+    }
+  }
+
+  public void busy(SteadyTime now) {
+    idleSince = now;
+  }
+
+  /** Notes whether the fleet could do without it; tells for how long that has been so. */
+  public double spare(boolean isSpare, SteadyTime now) {
+    if (!isSpare) {
+      spareSince = Optional.empty();
+      return 0;
+    }
+    if (spareSince.isEmpty()) {
+      spareSince = Optional.of(now);
+    }
+    return now.secondsSince(spareSince.get());
+  }
+
+  public State state() {
+    return state;
+  }
+
+  /** Must take no new task. */
+  public boolean closed() {
+    return state == State.DRAINING || state == State.RETURNING;
+  }
+
+  public double heldSeconds(SteadyTime now) {
+    return now.secondsSince(rentedAt);
+  }
+
+  public double idleSeconds(SteadyTime now) {
+    return now.secondsSince(idleSince);
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -17,6 +18,7 @@
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.bookkeeping.Keys;
 import org.mulleinshift.bookkeeping.LeaderJournal;
+import org.mulleinshift.bookkeeping.Machine;
 import org.mulleinshift.bookkeeping.Rental;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.BlockId;
@@ -57,28 +59,12 @@
   /** A kind of machine in a zone, which the cloud may run out of. */
   private record Offer(MachineTypeId type, ZoneId zone, boolean spot) {}
 
-  /** What the leader knows of a machine besides its record. */
-  private static final class Tracked {
-    private SteadyTime rentedAt;
-    private SteadyTime idleSince;
-    private final boolean rentSeen;
-    private boolean ageKnown;
-    private boolean closed;
-
-    Tracked(SteadyTime rentedAt, boolean rentSeen) {
-      this.rentedAt = rentedAt;
-      this.idleSince = rentedAt;
-      this.rentSeen = rentSeen;
-      this.ageKnown = rentSeen;
-    }
-  }
-
   private final Leader leader;
   private final Leader.Surroundings around;
   private final EventLoop loop;
   private final Cloud cloud;
   private final Revision term;
-  private final Map<MachineId, Tracked> tracked = new HashMap<>();
+  private final Map<MachineId, Machine> tracked = new HashMap<>();
   private final Map<String, Rental> rentals = new LinkedHashMap<>();
   private final Map<Offer, SteadyTime> refusedUntil = new HashMap<>();
   private final Map<MachineTypeId, Double> bootSeconds = new HashMap<>();
@@ -124,12 +110,18 @@
 
   /** Must take no new task. */
   boolean closed(MachineId machine) {
-    Tracked known = tracked.get(machine);
-    return known != null && known.closed;
+    Machine known = tracked.get(machine);
+    return known != null && known.closed();
   }
 
-  private Tracked track(MachineId machine) {
-    return tracked.computeIfAbsent(machine, key -> new Tracked(loop.now(), false));
+  private boolean recordedUp(MachineId machine) {
+    return leader.blocks().values().stream()
+        .map(block -> block.machines().get(machine))
+        .anyMatch(record -> record != null && record.up());
+  }
+
+  private Machine track(MachineId machine) {
+    return tracked.computeIfAbsent(machine, key -> Machine.found(loop.now(), recordedUp(key)));
   }
 
   void onReport(LeaderBlock block) {
@@ -143,22 +135,22 @@
       if (report.isEmpty()) {
         continue;
       }
-      Tracked known = track(id);
+      Machine known = track(id);
       if (busy.contains(id.value())) {
-        known.idleSince = loop.now();
+        known.busy(loop.now());
       }
       if (!record.up() && report.get().getPhase().equals(MachinePhase.CONFIRMED.name())) {
         entry.setValue(new MachineRecord(record.type(), record.spot(), true));
-        double boot = loop.now().secondsSince(known.rentedAt);
-        if (known.rentSeen) {
-          // Only a rental seen from its start tells a boot time. Machines that were up before, or
-          // that an earlier leader rented, would seem to boot in no time: then there is no horizon
-          // and no spacing, and every booting machine seems overdue.
-          bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3);
-        }
-        known.idleSince = loop.now();
+        // Only a rental seen from its start tells a boot time. Machines that were up before, or
+        // that an earlier leader rented, would seem to boot in no time: then there is no horizon
+        // and no spacing, and every booting machine seems overdue.
+        known
+            .cameUp(loop.now())
+            .ifPresent(
+                boot ->
+                    bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3));
         cameUp = true;
-        LOG.info("{} is up after {} s", id, Math.round(boot));
+        LOG.info("{} is up after {} s", id, Math.round(known.heldSeconds(loop.now())));
       }
     }
     if (cameUp) {
@@ -188,13 +180,13 @@
     for (LeaderBlock block : leader.blocks().values()) {
       for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
         MachineId id = entry.getKey();
-        Tracked known = track(id);
+        Machine known = track(id);
         Optional<MachineType> type = around.catalog().type(entry.getValue().type());
         Optional<MachineReport> report = block.reportOf(id);
         boolean overdue =
             !entry.getValue().up()
                 && type.isPresent()
-                && loop.now().secondsSince(known.rentedAt) > bootLongest(type.get());
+                && known.heldSeconds(loop.now()) > bootLongest(type.get());
         boolean silent =
             entry.getValue().up()
                 && report.isPresent()
@@ -207,9 +199,9 @@
   }
 
   private void giveUp(MachineId machine, String why) {
-    if (deleting.add(machine)) {
+    if (track(machine).giveBack()) {
+      deleting.add(machine);
       LOG.info("{} {}: returning it", machine, why);
-      track(machine).closed = true;
       leader.blocks().values().stream()
           .filter(block -> block.machines().containsKey(machine))
           .forEach(block -> leader.touch(block.id()));
@@ -272,6 +264,11 @@
     if (!result.shortage().isEmpty() && spaced) {
       rentFor(result.shortage());
     }
+    if (demand > 0) {
+      reopen();
+    } else {
+      consolidate();
+    }
     drain(result.used());
   }
 
@@ -302,7 +299,7 @@
                   return;
                 }
                 Resources size = type.get().size();
-                double age = loop.now().secondsSince(track(id).rentedAt);
+                double age = track(id).heldSeconds(loop.now());
                 double bootLeft = record.up() ? 0 : bootExpected(type.get()) - age;
                 if (bootLeft < -0.5 * bootExpected(type.get())) {
                   // Overdue: it may never come, so it is no room.
@@ -564,7 +561,7 @@
       if (!deleted.contains(machine) && !known(machine)) {
         LeaderBlock block = blockWithRoom(rental.zone());
         block.machines().put(machine, new MachineRecord(rental.type(), rental.spot(), false));
-        tracked.put(machine, new Tracked(rental.plannedAt(), true));
+        tracked.put(machine, Machine.rented(rental.plannedAt()));
         touched.add(block);
       }
     }
@@ -620,17 +617,98 @@
     double held = around.tunables().number(Tunables.Key.MINIMUM_HELD_S);
     for (LeaderBlock block : leader.blocks().values()) {
       for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
-        Tracked known = track(entry.getKey());
+        MachineId id = entry.getKey();
+        Machine known = track(id);
+        boolean unused =
+            known.state() == Machine.State.DRAINING
+                || (!used.contains(id) && known.idleSeconds(loop.now()) >= idle);
         if (entry.getValue().up()
-            && !used.contains(entry.getKey())
-            && !known.closed
-            && loop.now().secondsSince(known.idleSince) >= idle
-            && loop.now().secondsSince(known.rentedAt) >= held
-            && !busy(entry.getKey(), block)) {
-          giveUp(entry.getKey(), "is idle");
+            && unused
+            && known.state() != Machine.State.RETURNING
+            && known.heldSeconds(loop.now()) >= held
+            && !busy(id, block)) {
+          giveUp(id, "is idle");
+        }
+      }
+    }
+  }
+
+  /** Room ran short: machines that were to go stay. */
+  private void reopen() {
+    for (LeaderBlock block : leader.blocks().values()) {
+      for (MachineId id : block.machines().keySet()) {
+        Machine known = track(id);
+        known.spare(false, loop.now());
+        if (known.state() == Machine.State.DRAINING) {
+          LOG.info("{} stays", id);
+          known.reopen();
+          leader.touch(block.id());
+        }
+      }
+    }
+  }
+
+  /**
+   * The dearest machine whose tasks would fit into the room that the others have left takes no new
+   * tasks. Tasks end where they are; nothing is moved.
+   */
+  private void consolidate() {
+    double held = around.tunables().number(Tunables.Key.MINIMUM_HELD_S);
+    double patience = around.tunables().number(Tunables.Key.SPARE_S);
+    Map<MachineId, Room> rooms = new HashMap<>();
+    collectMachines(new ArrayList<>(), new ArrayList<>(), rooms, 0);
+    collectRunning(rooms, new ArrayList<>());
+    List<Room> candidates = new ArrayList<>(rooms.values());
+    candidates.sort(
+        Comparator.comparingDouble(Room::drainWeight)
+            .reversed()
+            .thenComparingDouble(room -> -room.free().cpus())
+            .thenComparing(Room::machine));
+    for (Room candidate : candidates) {
+      Machine known = track(candidate.machine());
+      boolean old = known.state() == Machine.State.UP && known.heldSeconds(loop.now()) >= held;
+      if (old && fitsElsewhere(candidate.machine())) {
+        if (known.spare(true, loop.now()) >= patience) {
+          LOG.info("{} is spare: it takes no new tasks", candidate.machine());
+          known.drain();
+          leader.blocks().values().stream()
+              .filter(block -> block.machines().containsKey(candidate.machine()))
+              .forEach(block -> leader.touch(block.id()));
         }
+        return;
+      }
+      known.spare(false, loop.now());
+    }
+  }
+
+  private boolean fitsElsewhere(MachineId machine) {
+    Map<MachineId, Room> rooms = new HashMap<>();
+    collectMachines(new ArrayList<>(), new ArrayList<>(), rooms, 0);
+    collectRunning(rooms, new ArrayList<>());
+    rooms.remove(machine);
+    List<Room> others = new ArrayList<>(rooms.values());
+    List<PlacementNeed> needs = new ArrayList<>();
+    for (Headroom.Kept kept : leader.headroom().kept(loop.now())) {
+      for (int i = 0; i < 2 * kept.count(); i++) {
+        needs.add(kept.need());
+      }
+    }
+    for (Job job : leader.jobs().values()) {
+      for (Delegation delegation : job.delegations()) {
+        if (delegation.machine().filter(machine::equals).isPresent()
+            && delegation.state() != Delegation.State.ENDED) {
+          needs.add(PlacementNeed.of(job.spec()));
+        }
+      }
+    }
+    for (PlacementNeed need : needs) {
+      Optional<Room> room = Placer.choose(need, others);
+      if (room.isEmpty()) {
+        return false;
       }
+      room.get().take(need);
     }
+    return true;
   }
 
   private boolean busy(MachineId machine, LeaderBlock block) {
@@ -685,10 +763,9 @@
     if (deleted.contains(machine.id()) || deleting.contains(machine.id())) {
       return;
     }
-    Tracked known = tracked.get(machine.id());
-    if (known != null && !known.ageKnown) {
-      known.rentedAt = loop.now().minus(machine.age());
-      known.ageKnown = true;
+    Machine known = tracked.get(machine.id());
+    if (known != null) {
+      known.age(loop.now(), machine.age());
     }
     if (machine.phase() == CloudMachine.Phase.FAILED) {
       giveUp(machine.id(), "has failed");
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -228,6 +228,10 @@
     return journal;
   }
 
+  Headroom headroom() {
+    return headroom;
+  }
+
   Map<BlockId, LeaderBlock> blocks() {
     return blocks;
   }
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -67,6 +67,11 @@
     return left + (images.contains(need.image()) ? 0 : IMAGE_WEIGHT);
   }
 
+  /** A measure for choosing what to drain first. */
+  double drainWeight() {
+    return (1 + dearness) * size.cpus();
+  }
+
   MachineId machine() {
     return machine;
   }
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -43,6 +43,8 @@
         0,
         86_400,
         "a task that ran longer does not give way to a more urgent one"),
+    SPARE_S(
+        "spare_s", 6, 0, 3600, "how long the fleet could do without a machine before it drains"),
     HTTP_THREADS("http_threads", 16, 2, 256, "threads that read requests and write answers");
 
     private final String yaml;
