Peer frames are answered on their connection; one that is not is replaced

Found with the leader's view of its blocks, now logged at debug. Ruled out: placement, grants, tokens.

--- a/src/main/java/org/mulleinshift/Main.java
+++ b/src/main/java/org/mulleinshift/Main.java
@@ -4,6 +4,7 @@
 import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -34,6 +35,7 @@
 public final class Main implements Callable<Integer> {
   private static final int BAD_SETTINGS = 2;
   private static final int CANNOT_LISTEN = 1;
+  private static final Duration PEER_ACK = Duration.ofMillis(2500);
   private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
   @Option(
@@ -103,7 +105,7 @@
     Map<String, InetSocketAddress> peers = new HashMap<>();
     settings.members().forEach(member -> peers.put(member.label(), member.address()));
     AtomicReference<Controller> target = new AtomicReference<>();
-    TcpPeerLink link = new TcpPeerLink(loop, peers, frame -> target.get().onFrame(frame));
+    TcpPeerLink link = new TcpPeerLink(loop, peers, frame -> target.get().onFrame(frame), PEER_ACK);
     Controller controller =
         new Controller(
             settings,
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -384,11 +384,28 @@
       return;
     }
     loop.after(UPKEEP, this::upkeep);
+    describeBlocks();
     assignBlocks();
     sendAssignments(true);
     cycleSoon();
   }
 
+  private void describeBlocks() {
+    if (!LOG.isDebugEnabled()) {
+      return;
+    }
+    for (LeaderBlock block : blocks.values()) {
+      LOG.debug(
+          "{}: {}, reported {} ms ago, {} of {} machines usable, {}",
+          block.id(),
+          block.grant().map(Object::toString).orElse("not held"),
+          loop.now().since(block.reportedAt()).toMillis(),
+          block.lastReport().isPresent() ? roomsOf(block).size() : 0,
+          block.machines().size(),
+          block.lastReport().map(report -> report.getMachines().toString()).orElse("no report"));
+    }
+  }
+
   /** Grants blocks whose holder is gone or silent to a live controller, near ones first. */
   private void assignBlocks() {
     List<NodeId> live = new ArrayList<>();
--- a/src/main/java/org/mulleinshift/transport/TcpPeerLink.java
+++ b/src/main/java/org/mulleinshift/transport/TcpPeerLink.java
@@ -4,10 +4,14 @@
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -17,8 +21,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * One outgoing connection to each peer with a thread and a bounded queue; incoming connections are
- * only read. Every frame is preceded by its length.
+ * One outgoing connection to each peer with a thread and a bounded queue. Every frame is preceded
+ * by its length and answered by one byte on the same connection: after a network cut a connection
+ * may take frames for ever without delivering or failing, and only the missing answer shows it.
  */
 public final class TcpPeerLink implements PeerLink {
   private static final Logger LOG = LoggerFactory.getLogger(TcpPeerLink.class);
@@ -27,17 +32,23 @@
   private static final int MOST_INCOMING = 16;
   private static final int CONNECT_MILLIS = 1000;
   private static final int SILENCE_MILLIS = 5000;
+  private static final int ACK = 6;
   private static final int STACK_BYTES = 192 * 1024;
 
   private final Map<String, ArrayBlockingQueue<byte[]>> queues = new HashMap<>();
   private final Map<String, InetSocketAddress> peers;
   private final EventLoop loop;
+  private final int ackMillis;
   private final Consumer<byte[]> receiver;
   private final Semaphore incoming = new Semaphore(MOST_INCOMING);
 
   public TcpPeerLink(
-      EventLoop loop, Map<String, InetSocketAddress> peers, Consumer<byte[]> receiver) {
+      EventLoop loop,
+      Map<String, InetSocketAddress> peers,
+      Consumer<byte[]> receiver,
+      Duration ackWithin) {
     this.loop = loop;
+    this.ackMillis = (int) ackWithin.toMillis();
     this.peers = peers;
     this.receiver = receiver;
     peers.keySet().forEach(label -> queues.put(label, new ArrayBlockingQueue<>(QUEUED_FRAMES)));
@@ -71,15 +82,18 @@
       try (Socket socket = new Socket()) {
         socket.setTcpNoDelay(true);
         socket.connect(address, CONNECT_MILLIS);
+        socket.setSoTimeout(ackMillis);
         queue.clear();
         DataOutputStream out =
             new DataOutputStream(new BufferedOutputStream(socket.getOutputStream(), 16 * 1024));
+        InputStream acks = socket.getInputStream();
         while (true) {
           byte[] frame = queue.take();
           out.writeInt(frame.length);
           out.write(frame);
-          if (queue.isEmpty()) {
-            out.flush();
+          out.flush();
+          if (acks.read() < 0) {
+            throw new EOFException("closed by the peer");
           }
         }
       } catch (IOException e) {
@@ -120,6 +134,8 @@
       socket.setSoTimeout(SILENCE_MILLIS);
       DataInputStream in =
           new DataInputStream(new BufferedInputStream(socket.getInputStream(), 16 * 1024));
+      OutputStream acks = socket.getOutputStream();
+      socket.setTcpNoDelay(true);
       while (true) {
         int length = in.readInt();
         if (length < 0 || length > LONGEST_FRAME) {
@@ -130,6 +146,7 @@
           return;
         }
         loop.post(() -> receiver.accept(frame));
+        acks.write(ACK);
       }
     } catch (IOException e) {
       LOG.debug("incoming link ended: {}", e.toString());
