A holder that hears nothing from the leader loses its block

Second guard against a stalled block: the leader hears the holder, but the holder acknowledges nothing new for twice peer_silent_s.

--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -264,7 +264,8 @@
       ControlView.GrantRecord seen = around.view().grants().get(block.id());
       block.grant(
           Optional.ofNullable(seen)
-              .map(grant -> new LeaderBlock.Grant(grant.holder(), grant.revision())));
+              .map(grant -> new LeaderBlock.Grant(grant.holder(), grant.revision())),
+          loop.now());
       if (seen == null) {
         journal.forgotten(Keys.grant(block.id()));
       } else {
@@ -420,8 +421,17 @@
     for (LeaderBlock block : blocks.values()) {
       boolean held = block.grant().filter(grant -> live.contains(grant.holder())).isPresent();
       String key = Keys.grant(block.id());
-      if (!held && !live.isEmpty() && !journal.pending(key)) {
-        NodeId best = live.stream().min(Comparator.comparingInt(n -> load(n, block))).get();
+      // A holder may be heard and yet hear nothing: then its block would stand still.
+      boolean deaf = block.unheard(term.value(), loop.now()).compareTo(limit.multipliedBy(2)) > 0;
+      if ((!held || deaf) && !live.isEmpty() && !journal.pending(key)) {
+        Optional<NodeId> deafOne =
+            deaf ? block.grant().map(LeaderBlock.Grant::holder) : Optional.empty();
+        NodeId best =
+            live.stream()
+                .min(
+                    Comparator.comparingInt(
+                        n -> load(n, block) + (deafOne.equals(Optional.of(n)) ? 1000 : 0)))
+                .get();
         LOG.info("granting {} to {}", block.id(), best);
         journal.submit(key, new GrantUnit(block, best));
       }
@@ -919,7 +929,7 @@
 
     @Override
     public void committed(Revision revision) {
-      block.grant(Optional.of(new LeaderBlock.Grant(holder, revision)));
+      block.grant(Optional.of(new LeaderBlock.Grant(holder, revision)), loop.now());
       sendSoon();
     }
   }
--- a/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
+++ b/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
@@ -1,5 +1,6 @@
 package org.mulleinshift.coordination;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -27,6 +28,8 @@
   private Optional<Grant> grant = Optional.empty();
   private Optional<BlockReport> lastReport = Optional.empty();
   private SteadyTime reportedAt;
+  private SteadyTime heardAt;
+  private long seenVersion;
   private long version = 1;
   private boolean assignmentDirty = true;
 
@@ -34,11 +37,14 @@
     this.id = id;
     this.zone = zone;
     this.reportedAt = now;
+    this.heardAt = now;
   }
 
-  void grant(Optional<Grant> next) {
+  void grant(Optional<Grant> next, SteadyTime now) {
     if (!next.equals(grant)) {
       grant = next;
+      heardAt = now;
+      seenVersion = 0;
       lastReport = Optional.empty();
       reports.clear();
       assignmentDirty = true;
@@ -86,6 +92,17 @@
             .isPresent();
   }
 
+  /** For how long the holder has shown no sign of anything new that was sent to it. */
+  Duration unheard(long term, SteadyTime now) {
+    long seen =
+        lastReport.filter(r -> r.getSeenTerm() == term).map(BlockReport::getSeenVersion).orElse(0L);
+    if (acknowledged(term) || seen > seenVersion || grant.isEmpty()) {
+      heardAt = now;
+      seenVersion = seen;
+    }
+    return now.since(heardAt);
+  }
+
   BlockId id() {
     return id;
   }
--- a/src/test/java/org/mulleinshift/sim/Network.java
+++ b/src/test/java/org/mulleinshift/sim/Network.java
@@ -11,10 +11,10 @@
     HOLD
   }
 
-  private record Cut(String one, String other, Mode mode, double until, List<Runnable> held) {
+  private record Cut(String one, String other, boolean bothWays, Mode mode, List<Runnable> held) {
     boolean covers(String from, String to) {
       return (matches(one, from) && matches(other, to))
-          || (matches(one, to) && matches(other, from));
+          || (bothWays && matches(one, to) && matches(other, from));
     }
 
     private static boolean matches(String pattern, String host) {
@@ -32,8 +32,8 @@
     this.world = world;
   }
 
-  void cut(String one, String other, Mode mode, double seconds) {
-    Cut cut = new Cut(one, other, mode, world.seconds() + seconds, new ArrayList<>());
+  void cut(String one, String other, boolean bothWays, Mode mode, double seconds) {
+    Cut cut = new Cut(one, other, bothWays, mode, new ArrayList<>());
     cuts.add(cut);
     world.after(
         seconds,
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -210,10 +210,11 @@
       case "ask" -> ask(words);
       case "crash" -> crash(words);
       case "stall" -> node(words[1]).stall(Double.parseDouble(words[2]));
-      case "cut" ->
+      case "cut", "cut-one-way" ->
           network.cut(
               hostOf(words[1]),
               hostOf(words[2]),
+              words[0].equals("cut"),
               Network.Mode.valueOf(words[4].toUpperCase()),
               Double.parseDouble(words[3]));
       case "state" -> actOnState(words);
