--- a/src/main/java/org/mulleinshift/Rehearsal.java
+++ b/src/main/java/org/mulleinshift/Rehearsal.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.JobCodec;
 import org.mulleinshift.protocol.NodeId;
@@ -24,7 +25,7 @@
       throws InterruptedException {
     try {
       PeerCodec codec = new PeerCodec();
-      codec.read(codec.write(new NodeId("rehearsal"), new Heartbeat(1L, 1L)));
+      codec.read(codec.write(new NodeId("rehearsal"), List.of(new Heartbeat(1L, 1L))));
       StateCodec.parseRange("{\"rows\":[{\"k\":\"a\",\"value\":{},\"stamp\":1}],\"epoch\":1}");
       WorkerCodec.parseReport("{\"host\":\"a\",\"pieces\":[]}");
     } catch (BadMessage e) {
--- a/src/main/java/org/mulleinshift/bookkeeping/Delegation.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Delegation.java
@@ -4,6 +4,7 @@
 import org.mulleinshift.protocol.Attempt;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.TaskId;
 import org.mulleinshift.protocol.ZoneId;
@@ -29,6 +30,7 @@
   }
 
   private final TaskId task;
+  private final Resources perTask;
   private final BlockId block;
   private final ZoneId zone;
   private final Attempt attempt;
@@ -38,8 +40,10 @@
   private boolean stop;
   private Revision storedAt = new Revision(0);
 
-  Delegation(TaskId task, BlockId block, ZoneId zone, Attempt attempt, State state) {
+  Delegation(
+      TaskId task, Resources perTask, BlockId block, ZoneId zone, Attempt attempt, State state) {
     this.task = task;
+    this.perTask = perTask;
     this.block = block;
     this.zone = zone;
     this.attempt = attempt;
@@ -95,6 +99,11 @@
     return task;
   }
 
+  /** What it takes of its machine. */
+  public Resources perTask() {
+    return perTask;
+  }
+
   public BlockId block() {
     return block;
   }
--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.mulleinshift.protocol.Attempt;
@@ -45,7 +46,8 @@
   private State state;
   private final BitSet done = new BitSet();
   private final BitSet delegated = new BitSet();
-  private final Map<Integer, Delegation> delegations = new TreeMap<>();
+  private final BitSet unavailable = new BitSet();
+  private final NavigableMap<Integer, Delegation> delegations = new TreeMap<>();
   private final Map<Integer, SteadyTime> pausedUntil = new HashMap<>();
   private final Map<ZoneId, Integer> perZone = new HashMap<>();
   private int failures;
@@ -83,7 +85,7 @@
   /** Reads one chunk of stored progress. */
   public void load(int chunk, JsonNode value, java.util.function.Function<BlockId, ZoneId> zones) {
     int base = chunk * CHUNK;
-    TaskRanges.read(value.path("done").asText()).stream().forEach(index -> done.set(base + index));
+    TaskRanges.read(value.path("done").asText()).stream().forEach(index -> markDone(base + index));
     for (JsonNode item : value.path("at")) {
       BlockId block = new BlockId(item.path("b").asText());
       Attempt attempt = new Attempt(item.path("n").asLong());
@@ -93,6 +95,7 @@
                   add(
                       new Delegation(
                           new TaskId(spec.id(), base + index),
+                          spec.perTask(),
                           block,
                           zones.apply(block),
                           attempt,
@@ -106,9 +109,9 @@
     ObjectNode node = Json.object();
     node.put("done", TaskRanges.write(part(done, base)));
     Map<String, BitSet> groups = new LinkedHashMap<>();
-    for (Delegation delegation : delegations.values()) {
+    for (Delegation delegation : delegations(chunk)) {
       int index = delegation.task().index() - base;
-      if (index >= 0 && index < CHUNK && delegation.state() != Delegation.State.ENDED) {
+      if (delegation.state() != Delegation.State.ENDED) {
         groups
             .computeIfAbsent(delegation.attempt() + " " + delegation.block(), key -> new BitSet())
             .set(index);
@@ -141,7 +144,12 @@
   public Delegation delegate(int index, BlockId block, ZoneId zone, Attempt attempt) {
     Delegation delegation =
         new Delegation(
-            new TaskId(spec.id(), index), block, zone, attempt, Delegation.State.WRITING);
+            new TaskId(spec.id(), index),
+            spec.perTask(),
+            block,
+            zone,
+            attempt,
+            Delegation.State.WRITING);
     add(delegation);
     pausedUntil.remove(index);
     return delegation;
@@ -150,19 +158,25 @@
   private void add(Delegation delegation) {
     if (delegations.put(delegation.task().index(), delegation) == null) {
       delegated.set(delegation.task().index());
+      unavailable.set(delegation.task().index());
       perZone.merge(delegation.zone(), 1, Integer::sum);
     }
   }
 
   public void taskDone(Delegation delegation, double runSeconds) {
     delegation.ended();
-    done.set(delegation.task().index());
+    markDone(delegation.task().index());
     if (runSeconds > 0) {
       runSecondsTotal += runSeconds;
       runCount++;
     }
   }
 
+  private void markDone(int index) {
+    done.set(index);
+    unavailable.set(index);
+  }
+
   /** The task is provably nowhere; it may be tried again after the pause. */
   public void taskReturned(Delegation delegation, Optional<SteadyTime> notBefore) {
     delegation.ended();
@@ -181,6 +195,7 @@
       int index = delegation.task().index();
       if (delegations.remove(index, delegation)) {
         delegated.clear(index);
+        unavailable.set(index, done.get(index));
         perZone.merge(delegation.zone(), -1, (a, b) -> a + b == 0 ? null : a + b);
       }
     }
@@ -241,6 +256,11 @@
     return delegations.values();
   }
 
+  /** The delegations of a part of the job. */
+  public Collection<Delegation> delegations(int chunk) {
+    return delegations.subMap(chunk * CHUNK, (chunk + 1) * CHUNK).values();
+  }
+
   public Optional<Delegation> delegation(int index) {
     return Optional.ofNullable(delegations.get(index));
   }
@@ -270,23 +290,16 @@
   }
 
   public int waitingCount() {
-    return spec.tasks() - unavailable().cardinality();
-  }
-
-  private BitSet unavailable() {
-    BitSet set = (BitSet) done.clone();
-    set.or(delegated);
-    return set;
+    return spec.tasks() - unavailable.cardinality();
   }
 
   /** Up to {@code most} tasks that may be tried now. */
   public int[] waiting(int most, SteadyTime now) {
-    BitSet taken = unavailable();
     int[] found = new int[Math.min(most, spec.tasks())];
     int count = 0;
-    for (int index = taken.nextClearBit(0);
+    for (int index = unavailable.nextClearBit(0);
         index < spec.tasks() && count < found.length;
-        index = taken.nextClearBit(index + 1)) {
+        index = unavailable.nextClearBit(index + 1)) {
       SteadyTime until = pausedUntil.get(index);
       if (until == null || !until.isAfter(now)) {
         found[count++] = index;
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -4,9 +4,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +34,8 @@
 import org.mulleinshift.protocol.peer.Assignment;
 import org.mulleinshift.protocol.peer.BlockReport;
 import org.mulleinshift.protocol.peer.MachineReport;
+import org.mulleinshift.protocol.peer.RemovedTask;
+import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.TaskReport;
 import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.transport.EventLoop;
@@ -72,11 +74,18 @@
   private final SteadyTime startedAt;
   private final Map<MachineId, HeldMachine> machines = new TreeMap<>();
   private final Map<TaskId, HeldTask> tasks = new LinkedHashMap<>();
-  private final Map<TaskId, SteadyTime> takenAt = new HashMap<>();
+  private final Set<HeldTask> unplaced = new LinkedHashSet<>();
+  private final ChangeLog<TaskId> taskNews = new ChangeLog<>();
+  private final ChangeLog<MachineId> machineNews = new ChangeLog<>();
   private Set<MachineId> closed = Set.of();
   private long seenTerm;
   private long seenVersion;
   private long sequence;
+  private long confirmedSequence;
+  private long regularSequence;
+  private long toldVersion;
+  private boolean resend;
+  private Revision recordSeen = new Revision(0);
 
   BlockHolder(Surroundings around, BlockId id, Revision grant, BooleanSupplier entitled) {
     this.around = around;
@@ -93,62 +102,128 @@
 
   /** The block's machines as stored. A machine that is no longer there was deleted for certain. */
   void onRecord(BlockRecord record) {
+    if (record.version().equals(recordSeen)) {
+      return;
+    }
+    recordSeen = record.version();
     for (Map.Entry<MachineId, MachineRecord> entry : record.machines().entrySet()) {
       machines
           .computeIfAbsent(entry.getKey(), key -> new HeldMachine(key, entry.getValue(), grant))
           .update(entry.getValue());
+      news(entry.getKey());
     }
     List<MachineId> gone = new ArrayList<>(machines.keySet());
     gone.removeAll(record.machines().keySet());
     for (MachineId machine : gone) {
-      machines.remove(machine);
-      loseTasksOf(machine);
+      loseTasksOf(machines.remove(machine));
     }
     placeAndSend();
   }
 
-  private void loseTasksOf(MachineId machine) {
-    for (HeldTask task : tasks.values()) {
-      if (task.boundTo(machine)) {
-        finish(task, task.stopRequested() ? TaskPhase.STOPPED : TaskPhase.LOST);
-      }
+  private void loseTasksOf(HeldMachine machine) {
+    for (HeldTask task : machine.tasks()) {
+      finish(task, task.stopRequested() ? TaskPhase.STOPPED : TaskPhase.LOST);
     }
   }
 
   private void finish(HeldTask task, TaskPhase phase) {
-    task.moveTo(phase, null, loop.now());
+    move(task, phase, null);
+  }
+
+  /** All changes of a task's phase pass here, so that what is indexed by it stays in step. */
+  private void move(HeldTask task, TaskPhase next, MachineId where) {
+    HeldMachine before = task.place().map(machines::get).orElse(null);
+    task.moveTo(next, where, loop.now());
+    HeldMachine after = task.place().map(machines::get).orElse(null);
+    if (before != null && before != after) {
+      before.release(task);
+    }
+    if (after != null) {
+      after.bind(task);
+    }
+    if (task.phase() != TaskPhase.NEW) {
+      unplaced.remove(task);
+    }
+    taskNews.changed(task.task(), sequence + 1);
     around.onNews().run();
   }
 
-  /** The leader's full set. A set of an earlier term, grant or version is out of date. */
+  private void drop(HeldTask task) {
+    task.place().map(machines::get).ifPresent(machine -> machine.release(task));
+    unplaced.remove(task);
+  }
+
+  private void news(MachineId machine) {
+    machineNews.changed(machine, sequence + 1);
+    around.onNews().run();
+  }
+
+  /**
+   * What the leader changed in its set. A message of an earlier term or grant is out of date; one
+   * that builds on a version that never came is left out, the leader sends from the known one
+   * again.
+   */
   void onAssignment(Assignment assignment) {
-    boolean stale =
+    long term = assignment.getLeaderTerm();
+    long known = term == seenTerm ? seenVersion : 0;
+    boolean unfit =
         assignment.getGrant() != grant.value()
-            || assignment.getLeaderTerm() < seenTerm
-            || (assignment.getLeaderTerm() == seenTerm && assignment.getVersion() < seenVersion);
-    if (stale) {
+            || term < seenTerm
+            || assignment.getBase() > known
+            || assignment.getVersion() <= known;
+    if (unfit) {
       return;
     }
-    seenTerm = assignment.getLeaderTerm();
+    if (term != seenTerm) {
+      // A new leader knows nothing of this block yet.
+      confirmedSequence = 0;
+    }
+    seenTerm = term;
     seenVersion = assignment.getVersion();
     closed = new HashSet<>();
     assignment.getClosed().forEach(machine -> closed.add(new MachineId(machine)));
-    Set<TaskId> wanted = new HashSet<>();
+    Set<TaskId> named = new HashSet<>();
     for (AssignedJob job : assignment.getJobs()) {
       PlacementNeed need = needOf(job);
+      JobId id = new JobId(job.getJob());
       for (AssignedTask item : job.getTasks()) {
-        TaskId task = new TaskId(new JobId(job.getJob()), item.getIndex());
-        wanted.add(task);
+        TaskId task = new TaskId(id, item.getIndex());
+        named.add(task);
         take(task, job, item, need);
       }
     }
-    tasks.keySet().retainAll(wanted);
-    takenAt.keySet().retainAll(wanted);
+    for (RemovedTask removed : assignment.getRemoved()) {
+      Optional.ofNullable(tasks.remove(new TaskId(new JobId(removed.getJob()), removed.getIndex())))
+          .ifPresent(this::drop);
+    }
+    if (assignment.getBase() == 0) {
+      List<TaskId> unnamed = new ArrayList<>(tasks.keySet());
+      unnamed.removeIf(named::contains);
+      unnamed.forEach(task -> drop(tasks.remove(task)));
+    }
     adoptFromStrays();
     around.onNews().run();
     placeAndSend();
   }
 
+  /** Up to where the leader knows this block. */
+  void onReportsSeen(ReportsSeen seen) {
+    if (seen.getGrant() != grant.value() || seen.getLeaderTerm() < seenTerm) {
+      return;
+    }
+    boolean behind = seen.getSequence() < confirmedSequence;
+    confirmedSequence = seen.getSequence();
+    if (behind || seen.getSequence() == 0) {
+      // Another leader, or one that missed a report: it is told again from there.
+      regularSequence = sequence;
+      resend = true;
+      around.onNews().run();
+    } else {
+      taskNews.confirmed(confirmedSequence);
+      machineNews.confirmed(confirmedSequence);
+    }
+  }
+
   private static PlacementNeed needOf(AssignedJob job) {
     return new PlacementNeed(
         new Resources(job.getCpus(), job.getGpus(), job.getMemoryGb()),
@@ -161,9 +236,15 @@
     HeldTask known = tasks.get(id);
     Attempt attempt = new Attempt(item.getAttempt());
     if (known == null || !known.attempt().equals(attempt)) {
-      known = new HeldTask(id, attempt, need, job.getSaveSeconds(), job.getRank(), item.getFresh());
+      if (known != null) {
+        drop(known);
+      }
+      known =
+          new HeldTask(
+              id, attempt, need, job.getSaveSeconds(), job.getRank(), item.getFresh(), loop.now());
       tasks.put(id, known);
-      takenAt.put(id, loop.now());
+      unplaced.add(known);
+      taskNews.changed(id, sequence + 1);
     }
     if (item.getStop()) {
       requestStop(known);
@@ -240,7 +321,11 @@
     }
     Set<TaskId> listed = new HashSet<>();
     List<WorkerReport.Entry> strays = new ArrayList<>();
-    machine.heard(report, loop.now());
+    boolean recalled = machine.recalled();
+    machine.heard(report);
+    if (recalled != machine.recalled()) {
+      news(machine.id());
+    }
     for (WorkerReport.Entry entry : report.tasks()) {
       HeldTask task = matching(entry);
       if (task == null) {
@@ -253,8 +338,8 @@
     machine.strays(strays);
     boolean knowsToken = report.highestToken().compareTo(machine.token()) >= 0;
     moveMachine(machine, knowsToken ? MachinePhase.CONFIRMED : MachinePhase.HEARD);
-    for (HeldTask task : tasks.values()) {
-      if (task.boundTo(machine.id()) && !listed.contains(task.task())) {
+    for (HeldTask task : machine.tasks()) {
+      if (!listed.contains(task.task())) {
         unlisted(machine, task, newSession, knowsToken);
       }
     }
@@ -279,7 +364,7 @@
     }
     if (machine.phase() != next) {
       machine.moveTo(next);
-      around.onNews().run();
+      news(machine.id());
     }
   }
 
@@ -289,12 +374,11 @@
       return;
     }
     TaskPhase phase = phaseOf(entry);
-    if (phase == TaskPhase.RUNNING) {
-      machine.addImage(task.need().image());
+    if (phase == TaskPhase.RUNNING && machine.addImage(task.need().image())) {
+      news(machine.id());
     }
     if (task.phase() != phase) {
-      task.moveTo(phase, machine.id(), loop.now());
-      around.onNews().run();
+      move(task, phase, machine.id());
     }
   }
 
@@ -327,13 +411,10 @@
         }
       }
     }
-    for (HeldTask task : tasks.values()) {
+    for (HeldTask task : machine.tasks()) {
       if (orders.size() >= MOST_ORDERS) {
         break;
       }
-      if (!task.boundTo(machine.id())) {
-        continue;
-      }
       if (task.stopRequested()) {
         orders.add(new Order.Halt(task.task(), task.attempt(), graceOf(task)));
       } else if (task.phase() == TaskPhase.STARTING) {
@@ -361,7 +442,10 @@
         LOG.info("{} is silent: its lease is over", machine.id());
         moveMachine(machine, MachinePhase.SILENT);
         machine.strays(List.of());
-        loseTasksOf(machine.id());
+        loseTasksOf(machine);
+      }
+      if (machine.silence(silenceOf(machine, now))) {
+        news(machine.id());
       }
     }
     placeAndSend();
@@ -387,36 +471,38 @@
   }
 
   private void place() {
-    if (!entitled.getAsBoolean()) {
+    if (unplaced.isEmpty() || !entitled.getAsBoolean()) {
       return;
     }
     List<HeldTask> waiting = new ArrayList<>();
     boolean accounted = accounted();
-    for (HeldTask task : tasks.values()) {
-      if (task.phase() == TaskPhase.NEW && (task.fresh() || accounted)) {
+    for (HeldTask task : unplaced) {
+      if (task.fresh() || accounted) {
         waiting.add(task);
       }
     }
-    if (waiting.isEmpty()) {
-      return;
-    }
     waiting.sort(Comparator.comparingInt(HeldTask::rank));
     Set<TaskId> straying = new HashSet<>();
     machines.values().forEach(m -> m.strays().forEach(entry -> straying.add(entry.task())));
     List<Room> rooms = rooms();
+    // What found no room finds none for its like either: rooms only get smaller here.
+    Set<PlacementNeed> hopeless = new HashSet<>();
     SteadyTime now = loop.now();
     for (HeldTask task : waiting) {
       if (task.stopRequested() || around.cancelled().test(task.task().job())) {
         finish(task, TaskPhase.STOPPED);
       } else if (!straying.contains(task.task())) {
-        Optional<Room> room = Placer.choose(task.need(), rooms);
+        Optional<Room> room =
+            hopeless.contains(task.need()) ? Optional.empty() : Placer.choose(task.need(), rooms);
         if (room.isPresent()) {
           room.get().take(task.need());
-          task.moveTo(TaskPhase.STARTING, room.get().machine(), now);
+          move(task, TaskPhase.STARTING, room.get().machine());
           machines.get(room.get().machine()).ordersWaiting(true);
-          around.onNews().run();
-        } else if (now.isAfter(takenAt.get(task.task()).plus(UNPLACEABLE))) {
-          finish(task, TaskPhase.REJECTED);
+        } else {
+          hopeless.add(task.need());
+          if (now.isAfter(task.takenAt().plus(UNPLACEABLE))) {
+            finish(task, TaskPhase.REJECTED);
+          }
         }
       }
     }
@@ -442,22 +528,17 @@
       if (type.isEmpty() || !usable(machine, now)) {
         continue;
       }
-      Resources free = type.get().size();
       Set<String> images = new HashSet<>(machine.images());
-      for (HeldTask task : tasks.values()) {
-        if (task.boundTo(machine.id())) {
-          free = free.minus(task.need().perTask());
-          images.add(task.need().image());
-        }
-      }
+      machine.tasks().forEach(task -> images.add(task.need().image()));
       rooms.add(
           new Room(
               machine.id(),
+              id,
               type.get().id(),
               machine.record().spot(),
               type.get().dearness(machine.record().spot()),
               type.get().size(),
-              free,
+              type.get().size().minus(machine.used()),
               images));
     }
     return rooms;
@@ -467,14 +548,18 @@
     return machine.phase() == MachinePhase.CONFIRMED
         && machine.record().up()
         && !closed.contains(machine.id())
-        && machine.recallMillis(now) < 0
-        && silence(machine, now).compareTo(around.timing().report().multipliedBy(5).dividedBy(2))
-            < 0
+        && !machine.recalled()
+        && silenceOf(machine, now) == HeldMachine.Silence.HEARD
         && machine.strays().stream().allMatch(entry -> entry.state() == WorkerReport.State.EXITED);
   }
 
-  private Duration silence(HeldMachine machine, SteadyTime now) {
-    return now.since(machine.answeredAt().orElse(startedAt));
+  private HeldMachine.Silence silenceOf(HeldMachine machine, SteadyTime now) {
+    Duration silent = now.since(machine.answeredAt().orElse(startedAt));
+    if (silent.compareTo(around.timing().lease().plusSeconds(1)) > 0) {
+      return HeldMachine.Silence.GONE;
+    }
+    Duration quiet = around.timing().report().multipliedBy(5).dividedBy(2);
+    return silent.compareTo(quiet) >= 0 ? HeldMachine.Silence.QUIET : HeldMachine.Silence.HEARD;
   }
 
   /** Orders that need not wait for the next report. */
@@ -538,30 +623,66 @@
     machine.raiseToken();
   }
 
-  BlockReport report() {
+  /** Whether there is anything to tell that was not yet sent. */
+  boolean hasNews() {
+    return resend
+        || seenVersion != toldVersion
+        || taskNews.anySince(sequence)
+        || machineNews.anySince(sequence);
+  }
+
+  /** What is new since the last report. */
+  BlockReport newsReport() {
+    return report(resend ? confirmedSequence : sequence);
+  }
+
+  /** Sent even without news; tells again what has stayed unconfirmed since the one before. */
+  BlockReport regularReport() {
+    boolean confirmed = confirmedSequence >= regularSequence && !resend;
+    BlockReport report = report(confirmed ? sequence : confirmedSequence);
+    regularSequence = sequence;
+    return report;
+  }
+
+  private BlockReport report(long base) {
+    resend = false;
+    toldVersion = seenVersion;
     SteadyTime now = loop.now();
     List<MachineReport> machineReports = new ArrayList<>();
-    for (HeldMachine machine : machines.values()) {
-      machineReports.add(
-          new MachineReport(
-              machine.id().value(),
-              machine.phase().name(),
-              silence(machine, now).toMillis(),
-              machine.recallMillis(now),
-              new ArrayList<>(machine.images())));
+    for (MachineId id : base == 0 ? List.copyOf(machines.keySet()) : machineNews.since(base)) {
+      HeldMachine machine = machines.get(id);
+      if (machine != null) {
+        machineReports.add(
+            new MachineReport(
+                id.value(),
+                machine.phase().name(),
+                machine.silence().name(),
+                machine.recalled(),
+                new ArrayList<>(machine.images())));
+      }
     }
     List<TaskReport> taskReports = new ArrayList<>();
-    for (HeldTask task : tasks.values()) {
-      taskReports.add(
-          new TaskReport(
-              task.task().job().value(),
-              task.task().index(),
-              task.attempt().value(),
-              task.phase().name(),
-              task.machine().map(MachineId::value).orElse(""),
-              task.ranMillis(now)));
+    for (TaskId id : base == 0 ? List.copyOf(tasks.keySet()) : taskNews.since(base)) {
+      HeldTask task = tasks.get(id);
+      if (task != null) {
+        taskReports.add(
+            new TaskReport(
+                id.job().value(),
+                id.index(),
+                task.attempt().value(),
+                task.phase().name(),
+                task.machine().map(MachineId::value).orElse(""),
+                task.ranMillis(now)));
+      }
     }
     return new BlockReport(
-        id.value(), grant.value(), ++sequence, seenTerm, seenVersion, machineReports, taskReports);
+        id.value(),
+        grant.value(),
+        base,
+        ++sequence,
+        seenTerm,
+        seenVersion,
+        machineReports,
+        taskReports);
   }
 }
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -1,8 +1,10 @@
 package org.mulleinshift.coordination;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -24,6 +26,7 @@
 import org.mulleinshift.protocol.peer.Heartbeat;
 import org.mulleinshift.protocol.peer.JobDigest;
 import org.mulleinshift.protocol.peer.PeerFrame;
+import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
 import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.settings.Tunables;
@@ -64,6 +67,7 @@
   private final PrefixView jobs;
   private final Set<JobId> cancelled = new HashSet<>();
   private final Map<NodeId, SteadyTime> heardAt = new HashMap<>();
+  private final Map<NodeId, List<Object>> outbox = new HashMap<>();
   private final Map<NodeId, Long> storeSilence = new HashMap<>();
   private final Session session;
   private final Election election;
@@ -242,10 +246,19 @@
     if (node.equals(self)) {
       deliver(self, body);
     } else {
-      peers.send(node.value(), codec.write(self, body));
+      // What one step has to say to a peer goes in one frame.
+      List<Object> waiting = outbox.computeIfAbsent(node, key -> new ArrayList<>());
+      waiting.add(body);
+      if (waiting.size() == 1) {
+        loop.post(() -> flush(node));
+      }
     }
   }
 
+  private void flush(NodeId node) {
+    peers.send(node.value(), codec.write(self, outbox.remove(node)));
+  }
+
   private void toLeader(Object body) {
     if (leader.isPresent()) {
       deliver(self, body);
@@ -266,7 +279,7 @@
         throw new BadMessage("unknown sender");
       }
       heardAt.put(sender, loop.now());
-      deliver(sender, message.getBody());
+      message.getBodies().forEach(body -> deliver(sender, body));
     } catch (BadMessage e) {
       if (badFrames++ % 100 == 0) {
         LOG.warn("peer frame: {}", e.getMessage());
@@ -281,6 +294,8 @@
       desk.onAssignment(assignment);
     } else if (body instanceof BlockReport report) {
       leader.ifPresent(term -> term.onBlockReport(report));
+    } else if (body instanceof ReportsSeen seen) {
+      desk.onReportsSeen(seen);
     } else if (body instanceof StrangerReport report) {
       leader.ifPresent(term -> term.onStranger(report));
     } else if (body instanceof JobDigest digest) {
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -52,6 +51,9 @@
   private static final Duration RETRY = Duration.ofSeconds(1);
   private static final Duration LIST_EVERY = Duration.ofSeconds(10);
   private static final int REMEMBERED_DELETED = 5000;
+  private static final int DRAINED_OF = 24;
+  private static final int MOST_TRIALS = 16;
+  private static final BlockId NO_BLOCK = new BlockId("-");
 
   /** The way to the cloud. */
   record Cloud(HttpCaller calls, InetSocketAddress address, RateBudget budget) {}
@@ -124,38 +126,27 @@
     return tracked.computeIfAbsent(machine, key -> Machine.found(loop.now(), recordedUp(key)));
   }
 
-  void onReport(LeaderBlock block) {
-    Set<String> busy = new HashSet<>();
-    block.taskReports().forEach(task -> busy.add(task.getMachine()));
-    boolean cameUp = false;
-    for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
-      MachineId id = entry.getKey();
-      MachineRecord record = entry.getValue();
-      Optional<MachineReport> report = block.reportOf(id);
-      if (report.isEmpty()) {
-        continue;
-      }
-      Machine known = track(id);
-      if (busy.contains(id.value())) {
-        known.busy(loop.now());
-      }
-      if (!record.up() && report.get().getPhase().equals(MachinePhase.CONFIRMED.name())) {
-        entry.setValue(new MachineRecord(record.type(), record.spot(), true));
-        // Only a rental seen from its start tells a boot time. Machines that were up before, or
-        // that an earlier leader rented, would seem to boot in no time: then there is no horizon
-        // and no spacing, and every booting machine seems overdue.
-        known
-            .cameUp(loop.now())
-            .ifPresent(
-                boot ->
-                    bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3));
-        cameUp = true;
-        LOG.info("{} is up after {} s", id, Math.round(known.heldSeconds(loop.now())));
-      }
-    }
-    if (cameUp) {
-      store(block);
+  /** A holder told something new of a machine. */
+  void onReport(LeaderBlock block, MachineId id) {
+    MachineRecord record = block.machines().get(id);
+    MachineReport report = block.reportOf(id).orElse(null);
+    if (record == null
+        || report == null
+        || record.up()
+        || !report.getPhase().equals(MachinePhase.CONFIRMED.name())) {
+      return;
     }
+    Machine known = track(id);
+    block.machines().put(id, new MachineRecord(record.type(), record.spot(), true));
+    // Only a rental seen from its start tells a boot time. Machines that were up before, or
+    // that an earlier leader rented, would seem to boot in no time: then there is no horizon
+    // and no spacing, and every booting machine seems overdue.
+    known
+        .cameUp(loop.now())
+        .ifPresent(
+            boot -> bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3));
+    LOG.info("{} is up after {} s", id, Math.round(known.heldSeconds(loop.now())));
+    store(block);
   }
 
   private void store(LeaderBlock block) {
@@ -176,7 +167,6 @@
 
   /** Gives up machines that do not come up, are silent beyond their lease, or fail everything. */
   private void inspectMachines() {
-    Duration lease = around.settings().cluster().workers().lease();
     for (LeaderBlock block : leader.blocks().values()) {
       for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
         MachineId id = entry.getKey();
@@ -187,10 +177,13 @@
             !entry.getValue().up()
                 && type.isPresent()
                 && known.heldSeconds(loop.now()) > bootLongest(type.get());
+        if (leader.occupancy().busy(id, block.id())) {
+          known.busy(loop.now());
+        }
         boolean silent =
             entry.getValue().up()
                 && report.isPresent()
-                && report.get().getSilentMs() > lease.toMillis() + 1000;
+                && report.get().getSilence().equals(HeldMachine.Silence.GONE.name());
         if (overdue || silent || leader.faulty(id)) {
           giveUp(id, overdue ? "does not come up" : silent ? "is silent" : "fails its tasks");
         }
@@ -249,7 +242,7 @@
     double horizon = horizon();
     collectMachines(rooms, releases, byMachine, horizon);
     collectRentals(rooms, releases, horizon);
-    collectRunning(byMachine, releases);
+    collectRunning(byMachine, releases, horizon);
     List<Walk.Waiting> waiting = waiting();
     int demand = waiting.stream().mapToInt(Walk.Waiting::count).sum();
     Walk.Result result =
@@ -294,7 +287,7 @@
                 if (type.isEmpty() || closed(id)) {
                   return;
                 }
-                boolean leaving = block.reportOf(id).filter(r -> r.getRecallMs() >= 0).isPresent();
+                boolean leaving = block.reportOf(id).filter(MachineReport::getRecalled).isPresent();
                 if (leaving) {
                   return;
                 }
@@ -308,12 +301,13 @@
                 Room room =
                     new Room(
                         id,
+                        block.id(),
                         record.type(),
                         record.spot(),
                         type.get().dearness(record.spot()),
                         size,
                         record.up() ? size : Resources.ZERO,
-                        new HashSet<>());
+                        Set.of());
                 rooms.add(room);
                 byMachine.put(id, room);
                 if (!record.up()) {
@@ -338,41 +332,54 @@
         Room room =
             new Room(
                 new MachineId(rental.name() + "#" + i),
+                NO_BLOCK,
                 rental.type(),
                 rental.spot(),
                 type.dearness(rental.spot()),
                 type.size(),
                 Resources.ZERO,
-                new HashSet<>());
+                Set.of());
         rooms.add(room);
         releases.add(new Walk.Release(horizon, room, type.size()));
       }
     }
   }
 
-  private void collectRunning(Map<MachineId, Room> byMachine, List<Walk.Release> releases) {
+  private void collectRunning(
+      Map<MachineId, Room> byMachine, List<Walk.Release> releases, double horizon) {
     for (Job job : leader.jobs().values()) {
       double expected = around.runTimes().expectedSeconds(job);
       PlacementNeed need = PlacementNeed.of(job.spec());
+      int unplaced = 0;
       for (Delegation delegation : job.delegations()) {
         if (delegation.state() == Delegation.State.ENDED) {
           continue;
         }
-        Room room = delegation.machine().map(byMachine::get).orElse(null);
-        if (room == null) {
-          List<Room> anywhere = new ArrayList<>(byMachine.values());
-          room = Placer.choose(need, anywhere).orElse(null);
-        }
-        if (room == null) {
+        if (delegation.machine().isEmpty()) {
+          unplaced++;
           continue;
         }
-        room.take(need);
-        double ran =
-            delegation.runningSince().map(since -> loop.now().secondsSince(since)).orElse(0.0);
-        // A task past its expected end frees nothing that can be counted on.
-        double left = ran > expected ? expected * 0.5 : expected - ran;
-        releases.add(new Walk.Release(left, room, need.perTask()));
+        Room room = byMachine.get(delegation.machine().get());
+        if (room != null) {
+          room.take(need);
+          double ran =
+              delegation.runningSince().map(since -> loop.now().secondsSince(since)).orElse(0.0);
+          // A task past its expected end frees nothing that can be counted on.
+          double left = ran > expected ? expected * 0.5 : expected - ran;
+          if (left <= horizon) {
+            releases.add(new Walk.Release(left, room, need.perTask()));
+          }
+        }
       }
+      Placer.fill(
+          need,
+          unplaced,
+          byMachine.values(),
+          (room, count) -> {
+            if (expected <= horizon) {
+              releases.add(new Walk.Release(expected, room, need.perTask().times(count)));
+            }
+          });
     }
   }
 
@@ -380,7 +387,7 @@
   private List<Walk.Waiting> waiting() {
     Map<TeamId, Resources> use = new HashMap<>(leader.teamUse());
     List<Walk.Waiting> groups = new ArrayList<>();
-    for (Job job : leader.ranked()) {
+    for (Job job : leader.ranking().order()) {
       if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0) {
         continue;
       }
@@ -400,36 +407,41 @@
     Map<Offer, Integer> wanted = new LinkedHashMap<>();
     List<Room> fresh = new ArrayList<>();
     for (Walk.Waiting group : shortage) {
-      for (int left = group.count(); left > 0; left--) {
-        Optional<Room> room = Placer.choose(group.need(), fresh);
-        if (room.isEmpty()) {
-          Optional<Offer> offer = bestOffer(group.need(), left, wanted);
-          if (offer.isEmpty()) {
-            break;
-          }
-          wanted.merge(offer.get(), 1, Integer::sum);
-          room = Optional.of(freshRoom(offer.get(), fresh));
+      int left = group.count() - Placer.fill(group.need(), group.count(), fresh, (r, n) -> {});
+      while (left > 0) {
+        Optional<Offer> offer = bestOffer(group.need(), left, wanted);
+        if (offer.isEmpty()) {
+          break;
         }
-        room.get().take(group.need());
+        wanted.merge(offer.get(), 1, Integer::sum);
+        Room room = freshRoom(offer.get(), fresh);
+        left -= Placer.fill(group.need(), left, List.of(room), (r, n) -> {});
       }
     }
-    wanted.forEach(this::rent);
+    wanted.forEach(this::rentInParts);
     if (!wanted.isEmpty()) {
       lastResize = Optional.of(loop.now());
     }
   }
 
+  private void rentInParts(Offer offer, int count) {
+    for (int left = count; left > 0; left -= CloudCodec.MOST_RENTED) {
+      rent(offer, Math.min(left, CloudCodec.MOST_RENTED));
+    }
+  }
+
   private Room freshRoom(Offer offer, List<Room> fresh) {
     Resources size = around.catalog().type(offer.type()).get().size();
     Room room =
         new Room(
             new MachineId("new-" + fresh.size()),
+            NO_BLOCK,
             offer.type(),
             offer.spot(),
             0,
             size,
             size,
-            new HashSet<>());
+            Set.of());
     fresh.add(room);
     return room;
   }
@@ -446,9 +458,7 @@
       for (ZoneId zone : type.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(type.id(), zone, spot);
-          if (!need.allows(type.id(), spot)
-              || !available(offer)
-              || wanted.getOrDefault(offer, 0) >= CloudCodec.MOST_RENTED) {
+          if (!need.allows(type.id(), spot) || !available(offer)) {
             continue;
           }
           // Large machines are kept for the tasks that need them unless they cost far less.
@@ -626,7 +636,7 @@
             && unused
             && known.state() != Machine.State.RETURNING
             && known.heldSeconds(loop.now()) >= held
-            && !busy(id, block)) {
+            && !leader.occupancy().busy(id, block.id())) {
           giveUp(id, "is idle");
         }
       }
@@ -657,73 +667,58 @@
     double patience = around.tunables().number(Tunables.Key.SPARE_S);
     Map<MachineId, Room> rooms = new HashMap<>();
     collectMachines(new ArrayList<>(), new ArrayList<>(), rooms, 0);
-    collectRunning(rooms, new ArrayList<>());
+    collectRunning(rooms, new ArrayList<>(), 0);
+    for (Headroom.Kept kept : leader.headroom().kept(loop.now())) {
+      if (Placer.fill(kept.need(), 2 * kept.count(), rooms.values(), (r, n) -> {})
+          < 2 * kept.count()) {
+        return;
+      }
+    }
     List<Room> candidates = new ArrayList<>(rooms.values());
     candidates.sort(
         Comparator.comparingDouble(Room::drainWeight)
             .reversed()
             .thenComparingDouble(room -> -room.free().cpus())
             .thenComparing(Room::machine));
+    // A few at a time: each trial costs as much as the fleet is large.
+    int trials = MOST_TRIALS;
+    int most = 1 + candidates.size() / DRAINED_OF;
     for (Room candidate : candidates) {
       Machine known = track(candidate.machine());
       boolean old = known.state() == Machine.State.UP && known.heldSeconds(loop.now()) >= held;
-      if (old && fitsElsewhere(candidate.machine())) {
-        if (known.spare(true, loop.now()) >= patience) {
-          LOG.info("{} is spare: it takes no new tasks", candidate.machine());
-          known.drain();
-          leader.blocks().values().stream()
-              .filter(block -> block.machines().containsKey(candidate.machine()))
-              .forEach(block -> leader.touch(block.id()));
-        }
-        return;
+      boolean spare = old && most > 0 && trials-- > 0 && movesElsewhere(candidate, rooms);
+      most -= spare ? 1 : 0;
+      if (known.spare(spare, loop.now()) >= patience && spare) {
+        LOG.info("{} is spare: it takes no new tasks", candidate.machine());
+        known.drain();
+        leader.blocks().values().stream()
+            .filter(block -> block.machines().containsKey(candidate.machine()))
+            .forEach(block -> leader.touch(block.id()));
       }
-      known.spare(false, loop.now());
     }
   }
 
-  private boolean fitsElsewhere(MachineId machine) {
-    Map<MachineId, Room> rooms = new HashMap<>();
-    collectMachines(new ArrayList<>(), new ArrayList<>(), rooms, 0);
-    collectRunning(rooms, new ArrayList<>());
-    rooms.remove(machine);
-    List<Room> others = new ArrayList<>(rooms.values());
-    List<PlacementNeed> needs = new ArrayList<>();
-    for (Headroom.Kept kept : leader.headroom().kept(loop.now())) {
-      for (int i = 0; i < 2 * kept.count(); i++) {
-        needs.add(kept.need());
-      }
-    }
-    for (Job job : leader.jobs().values()) {
-      for (Delegation delegation : job.delegations()) {
-        if (delegation.machine().filter(machine::equals).isPresent()
-            && delegation.state() != Delegation.State.ENDED) {
-          needs.add(PlacementNeed.of(job.spec()));
-        }
-      }
+  /** Whether the others have room for its tasks; if so, that room is taken and it is left out. */
+  private boolean movesElsewhere(Room candidate, Map<MachineId, Room> rooms) {
+    Map<MachineId, Room> trial = new HashMap<>();
+    rooms.forEach((id, room) -> trial.put(id, room.copy()));
+    trial.remove(candidate.machine());
+    Map<PlacementNeed, Integer> needs = new LinkedHashMap<>();
+    for (Delegation delegation : leader.occupancy().on(candidate.machine())) {
+      Job job = leader.jobs().get(delegation.task().job());
+      needs.merge(PlacementNeed.of(job.spec()), 1, Integer::sum);
     }
-    for (PlacementNeed need : needs) {
-      Optional<Room> room = Placer.choose(need, others);
-      if (room.isEmpty()) {
+    for (Map.Entry<PlacementNeed, Integer> need : needs.entrySet()) {
+      if (Placer.fill(need.getKey(), need.getValue(), trial.values(), (r, n) -> {})
+          < need.getValue()) {
         return false;
       }
-      room.get().take(need);
     }
+    rooms.clear();
+    rooms.putAll(trial);
     return true;
   }
 
-  private boolean busy(MachineId machine, LeaderBlock block) {
-    for (Job job : leader.jobs().values()) {
-      for (Delegation delegation : job.delegations()) {
-        boolean here =
-            delegation.machine().map(machine::equals).orElse(delegation.block().equals(block.id()));
-        if (here && delegation.state() != Delegation.State.ENDED) {
-          return true;
-        }
-      }
-    }
-    return false;
-  }
-
   private void listRegularly() {
     if (!leader.leading()) {
       return;
--- a/src/main/java/org/mulleinshift/coordination/HeldMachine.java
+++ b/src/main/java/org/mulleinshift/coordination/HeldMachine.java
@@ -2,14 +2,18 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
 import org.mulleinshift.protocol.FencingToken;
 import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.TaskId;
 import org.mulleinshift.protocol.WorkerMoment;
 import org.mulleinshift.protocol.WorkerReport;
 import org.mulleinshift.transport.SteadyTime;
@@ -29,12 +33,23 @@
   private String address = "";
   private Optional<SteadyTime> answeredAt = Optional.empty();
   private Optional<Duration> recall = Optional.empty();
-  private SteadyTime recallSeenAt;
   private List<WorkerReport.Entry> strays = new ArrayList<>();
   private final Set<String> images = new LinkedHashSet<>();
+  private final Map<TaskId, HeldTask> bound = new LinkedHashMap<>();
+  private Resources used = Resources.ZERO;
+  private Silence silence = Silence.HEARD;
   private boolean directInFlight;
   private boolean ordersWaiting;
 
+  /** For how long a machine has not been heard, as far as it matters to the leader. */
+  enum Silence {
+    HEARD,
+    /** Reports are missing: it takes nothing new. */
+    QUIET,
+    /** For longer than its lease. */
+    GONE
+  }
+
   HeldMachine(MachineId id, MachineRecord record, Revision grant) {
     this.id = id;
     this.record = record;
@@ -66,29 +81,63 @@
     }
   }
 
-  void heard(WorkerReport report, SteadyTime now) {
+  void heard(WorkerReport report) {
     moment = report.moment();
     address = report.address();
     recall = report.recall();
-    recallSeenAt = now;
   }
 
   void answered(SteadyTime now) {
     answeredAt = Optional.of(now);
   }
 
-  void addImage(String image) {
-    images.remove(image);
+  /** False if it was known already. */
+  boolean addImage(String image) {
+    boolean news = !images.remove(image);
     images.add(image);
     if (images.size() > REMEMBERED_IMAGES) {
       images.remove(images.iterator().next());
     }
+    return news;
   }
 
   void update(MachineRecord next) {
     record = next;
   }
 
+  void bind(HeldTask task) {
+    if (bound.put(task.task(), task) == null) {
+      used = used.plus(task.need().perTask());
+    }
+  }
+
+  void release(HeldTask task) {
+    if (bound.remove(task.task(), task)) {
+      used = bound.isEmpty() ? Resources.ZERO : used.minus(task.need().perTask());
+    }
+  }
+
+  /** The tasks that are, or possibly are, on it. */
+  List<HeldTask> tasks() {
+    return new ArrayList<>(bound.values());
+  }
+
+  /** What those tasks take of it. */
+  Resources used() {
+    return used;
+  }
+
+  /** Notes how long it has been silent; tells whether that is news. */
+  boolean silence(Silence now) {
+    boolean news = silence != now;
+    silence = now;
+    return news;
+  }
+
+  Silence silence() {
+    return silence;
+  }
+
   MachineId id() {
     return id;
   }
@@ -117,10 +166,9 @@
     return answeredAt;
   }
 
-  long recallMillis(SteadyTime now) {
-    return recall
-        .map(left -> Math.max(0, left.minus(now.since(recallSeenAt)).toMillis()))
-        .orElse(-1L);
+  /** The cloud takes it away soon. */
+  boolean recalled() {
+    return recall.isPresent();
   }
 
   List<WorkerReport.Entry> strays() {
--- a/src/main/java/org/mulleinshift/coordination/HeldTask.java
+++ b/src/main/java/org/mulleinshift/coordination/HeldTask.java
@@ -14,6 +14,7 @@
   private final double saveSeconds;
   private final int rank;
   private final boolean fresh;
+  private final SteadyTime takenAt;
   private TaskPhase phase = TaskPhase.NEW;
   private Optional<MachineId> machine = Optional.empty();
   private Optional<SteadyTime> runningSince = Optional.empty();
@@ -26,13 +27,15 @@
       PlacementNeed need,
       double saveSeconds,
       int rank,
-      boolean fresh) {
+      boolean fresh,
+      SteadyTime takenAt) {
     this.task = task;
     this.attempt = attempt;
     this.need = need;
     this.saveSeconds = saveSeconds;
     this.rank = rank;
     this.fresh = fresh;
+    this.takenAt = takenAt;
   }
 
   /** The only place where the phase changes; a final phase stays. */
@@ -61,6 +64,11 @@
     return bound() && machine.get().equals(where);
   }
 
+  /** The machine on which it is, or possibly is. */
+  Optional<MachineId> place() {
+    return bound() ? machine : Optional.empty();
+  }
+
   void requestStop() {
     stop = true;
   }
@@ -94,6 +102,11 @@
     return fresh;
   }
 
+  /** When the leader's message about it came. */
+  SteadyTime takenAt() {
+    return takenAt;
+  }
+
   TaskPhase phase() {
     return phase;
   }
--- a/src/main/java/org/mulleinshift/coordination/HolderDesk.java
+++ b/src/main/java/org/mulleinshift/coordination/HolderDesk.java
@@ -16,6 +16,7 @@
 import org.mulleinshift.protocol.WorkerCodec;
 import org.mulleinshift.protocol.WorkerReport;
 import org.mulleinshift.protocol.peer.Assignment;
+import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
 import org.mulleinshift.transport.EventLoop;
 import org.mulleinshift.transport.Responder;
@@ -26,7 +27,7 @@
 final class HolderDesk {
   private static final Logger LOG = LoggerFactory.getLogger(HolderDesk.class);
   private static final Duration TICK = Duration.ofMillis(250);
-  private static final Duration REPORT_SPACING = Duration.ofMillis(60);
+  private static final Duration REPORT_SPACING = Duration.ofMillis(80);
   private static final Duration REPORT_AT_LEAST = Duration.ofSeconds(1);
 
   private final EventLoop loop;
@@ -65,7 +66,7 @@
 
   private void reportRegularly() {
     loop.after(REPORT_AT_LEAST, this::reportRegularly);
-    sendReports();
+    held.values().forEach(holder -> toLeader.accept(holder.regularReport()));
   }
 
   /** Something that the leader should know; several changes share a report. */
@@ -82,7 +83,11 @@
   }
 
   private void sendReports() {
-    held.values().forEach(holder -> toLeader.accept(holder.report()));
+    for (BlockHolder holder : held.values()) {
+      if (holder.hasNews()) {
+        toLeader.accept(holder.newsReport());
+      }
+    }
   }
 
   /** Takes up and gives up blocks as the store says. */
@@ -124,6 +129,13 @@
     }
   }
 
+  void onReportsSeen(ReportsSeen seen) {
+    BlockHolder holder = held.get(new BlockId(seen.getBlock()));
+    if (holder != null) {
+      holder.onReportsSeen(seen);
+    }
+  }
+
   void onCancelled(JobId job) {
     held.values().forEach(holder -> holder.onCancelled(job));
   }
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -15,6 +15,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.mulleinshift.bookkeeping.ControlView;
+import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.bookkeeping.JobRecord;
@@ -26,6 +27,7 @@
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.JobKind;
+import org.mulleinshift.protocol.JobSpec;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.NodeId;
@@ -34,6 +36,7 @@
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.protocol.TaskId;
 import org.mulleinshift.protocol.TeamId;
 import org.mulleinshift.protocol.ZoneId;
 import org.mulleinshift.protocol.peer.AssignedJob;
@@ -43,6 +46,8 @@
 import org.mulleinshift.protocol.peer.JobCount;
 import org.mulleinshift.protocol.peer.JobDigest;
 import org.mulleinshift.protocol.peer.MachineReport;
+import org.mulleinshift.protocol.peer.RemovedTask;
+import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
 import org.mulleinshift.protocol.peer.TaskReport;
 import org.mulleinshift.settings.PlatformSettings;
@@ -61,7 +66,9 @@
   private static final Duration RETRY = Duration.ofMillis(400);
   private static final Duration UPKEEP = Duration.ofMillis(500);
   private static final Duration DIGEST = Duration.ofSeconds(1);
+  private static final Duration RESEND = Duration.ofMillis(700);
   private static final int ATTEMPT_BITS = 20;
+  private static final int CYCLE_SHARE = 4;
 
   /** States of a term. */
   enum State {
@@ -93,6 +100,7 @@
   private final Map<BlockId, LeaderBlock> blocks = new TreeMap<>();
   private final Map<String, PlatformSettings.Team> teams = new HashMap<>();
   private final Map<MachineId, Integer> failuresInRow = new HashMap<>();
+  private final Occupancy occupancy = new Occupancy();
   private final Fleet fleet;
   private final Headroom headroom;
   private final Preemption preemption;
@@ -100,6 +108,8 @@
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
   private SteadyTime lastCycle;
+  private Duration cycleTook = Duration.ZERO;
+  private Optional<Ranking> ranking = Optional.empty();
   private boolean cyclePlanned;
   private boolean sendPlanned;
   private long attempts;
@@ -198,12 +208,31 @@
         String key = item.key();
         journal.submit(key, new DeleteUnit(key));
       } else {
-        job.load(Integer.parseInt(parts[1]), item.value(), this::zoneOf);
+        int chunk = Integer.parseInt(parts[1]);
+        job.load(chunk, item.value(), this::zoneOf);
+        job.delegations(chunk).forEach(occupancy::enter);
+        job.delegations(chunk).forEach(this::tell);
       }
     }
     load(Keys.RENTALS, this::begin);
   }
 
+  private void tell(Delegation delegation) {
+    LeaderBlock block = blocks.get(delegation.block());
+    if (block != null) {
+      block.tell(delegation);
+      sendSoon();
+    }
+  }
+
+  private void untell(Delegation delegation) {
+    LeaderBlock block = blocks.get(delegation.block());
+    if (block != null) {
+      block.untell(delegation);
+      sendSoon();
+    }
+  }
+
   private ZoneId zoneOf(BlockId block) {
     LeaderBlock found = blocks.get(block);
     return found != null ? found.zone() : new ZoneId(block.value());
@@ -240,6 +269,10 @@
     return jobs;
   }
 
+  Occupancy occupancy() {
+    return occupancy;
+  }
+
   /** A change of an active job in the store, as the watch brings it. */
   void onJob(JobRecord record) {
     if (state != State.LEADING || record.version().compareTo(loadedAt) <= 0) {
@@ -282,19 +315,44 @@
     }
     LeaderBlock block = blocks.get(new BlockId(report.getBlock()));
     if (block == null
-        || block.grant().filter(g -> g.revision().value() == report.getGrant()).isEmpty()
-        || block
-            .lastReport()
-            .filter(last -> last.getSequence() >= report.getSequence())
-            .isPresent()) {
+        || block.grant().filter(g -> g.revision().value() == report.getGrant()).isEmpty()) {
+      return;
+    }
+    if (report.getSeenTerm() == term.value()) {
+      block.confirmed(report.getSeenVersion(), loop.now());
+    }
+    if (!block.continues(report)) {
+      // A report went missing, or this leader is new: the holder tells again from what is known.
+      confirmReports(block);
+      return;
+    }
+    if (report.getSequence() <= block.lastSequence()) {
       return;
     }
-    block.reported(report, loop.now());
+    List<MachineId> named = block.reported(report, loop.now());
     for (TaskReport task : report.getTasks()) {
       onTask(task);
     }
-    fleet.onReport(block);
-    cycleSoon();
+    named.forEach(machine -> fleet.onReport(block, machine));
+    if (!named.isEmpty() || !report.getTasks().isEmpty()) {
+      cycleSoon();
+    }
+  }
+
+  private void confirmReports(LeaderBlock block) {
+    block
+        .grant()
+        .ifPresent(
+            grant ->
+                around
+                    .send()
+                    .accept(
+                        grant.holder(),
+                        new ReportsSeen(
+                            term.value(),
+                            block.id().value(),
+                            grant.revision().value(),
+                            block.lastSequence())));
   }
 
   void onStranger(StrangerReport report) {
@@ -311,6 +369,12 @@
         || delegation.state() == Delegation.State.ENDED) {
       return;
     }
+    occupancy.leave(delegation);
+    onTask(report, job, delegation);
+    occupancy.enter(delegation);
+  }
+
+  private void onTask(TaskReport report, Job job, Delegation delegation) {
     MachineId machine = new MachineId(report.getMachine());
     SteadyTime since = loop.now().minus(Duration.ofMillis(report.getRanMs()));
     switch (TaskPhase.valueOf(report.getPhase())) {
@@ -359,8 +423,7 @@
     if (job.state() == Job.State.CANCELLING) {
       for (Delegation delegation : job.delegations()) {
         if (!delegation.stopRequested()) {
-          delegation.requestStop();
-          touch(delegation.block());
+          requestStop(delegation);
         }
       }
     }
@@ -372,6 +435,13 @@
     }
   }
 
+  private void requestStop(Delegation delegation) {
+    delegation.requestStop();
+    if (delegation.told()) {
+      tell(delegation);
+    }
+  }
+
   void touch(BlockId block) {
     LeaderBlock found = blocks.get(block);
     if (found != null) {
@@ -387,7 +457,12 @@
     loop.after(UPKEEP, this::upkeep);
     describeBlocks();
     assignBlocks();
-    sendAssignments(true);
+    for (LeaderBlock block : blocks.values()) {
+      if (block.sequenceToConfirm()) {
+        confirmReports(block);
+      }
+    }
+    sendAssignments();
     cycleSoon();
   }
 
@@ -401,9 +476,9 @@
           block.id(),
           block.grant().map(Object::toString).orElse("not held"),
           loop.now().since(block.reportedAt()).toMillis(),
-          block.lastReport().isPresent() ? roomsOf(block).size() : 0,
+          roomsOf(block).size(),
           block.machines().size(),
-          block.lastReport().map(report -> report.getMachines().toString()).orElse("no report"));
+          block.told().size() + " tasks");
     }
   }
 
@@ -422,7 +497,7 @@
       boolean held = block.grant().filter(grant -> live.contains(grant.holder())).isPresent();
       String key = Keys.grant(block.id());
       // A holder may be heard and yet hear nothing: then its block would stand still.
-      boolean deaf = block.unheard(term.value(), loop.now()).compareTo(limit.multipliedBy(2)) > 0;
+      boolean deaf = block.unheard(loop.now()).compareTo(limit.multipliedBy(2)) > 0;
       if ((!held || deaf) && !live.isEmpty() && !journal.pending(key)) {
         Optional<NodeId> deafOne =
             deaf ? block.grant().map(LeaderBlock.Grant::holder) : Optional.empty();
@@ -467,18 +542,17 @@
       loop.post(
           () -> {
             sendPlanned = false;
-            sendAssignments(false);
+            sendAssignments();
           });
     }
   }
 
-  private void sendAssignments(boolean again) {
+  private void sendAssignments() {
     if (state != State.LEADING || !around.certain().getAsBoolean()) {
       return;
     }
     for (LeaderBlock block : blocks.values()) {
-      boolean wanted = block.assignmentDirty() || (again && !block.acknowledged(term.value()));
-      if (wanted && block.grant().isPresent()) {
+      if (block.grant().isPresent() && (block.lost(loop.now(), RESEND) || block.dirty())) {
         around.send().accept(block.grant().get().holder(), assignmentOf(block));
       }
     }
@@ -486,43 +560,54 @@
 
   private Assignment assignmentOf(LeaderBlock block) {
     Revision grant = block.grant().get().revision();
-    List<AssignedJob> assigned = new ArrayList<>();
-    int rank = 0;
-    for (Job job : ranked()) {
-      List<AssignedTask> tasks = new ArrayList<>();
-      for (Delegation delegation : job.delegations()) {
-        if (delegation.told() && delegation.block().equals(block.id())) {
-          tasks.add(
-              new AssignedTask(
-                  delegation.task().index(),
-                  delegation.attempt().value(),
-                  delegation.storedAt().compareTo(grant) > 0,
-                  delegation.stopRequested()));
-        }
-      }
-      rank++;
-      if (!tasks.isEmpty()) {
-        PlacementNeed need = PlacementNeed.of(job.spec());
-        assigned.add(
-            new AssignedJob(
-                job.spec().id().value(),
-                need.perTask().cpus(),
-                need.perTask().gpus(),
-                need.perTask().memoryGb(),
-                need.image(),
-                job.spec().checkpointSeconds() > 0 ? job.spec().saveSeconds() : 0,
-                need.types().stream().map(type -> type.value()).toList(),
-                need.spotAllowed(),
-                rank,
-                tasks));
+    long base = block.base();
+    Map<JobId, List<AssignedTask>> byJob = new LinkedHashMap<>();
+    List<RemovedTask> removed = new ArrayList<>();
+    for (TaskId task : block.changesSince(base)) {
+      Delegation delegation = block.told(task).orElse(null);
+      if (delegation == null) {
+        removed.add(new RemovedTask(task.job().value(), task.index()));
+      } else {
+        byJob
+            .computeIfAbsent(task.job(), key -> new ArrayList<>())
+            .add(
+                new AssignedTask(
+                    task.index(),
+                    delegation.attempt().value(),
+                    delegation.storedAt().compareTo(grant) > 0,
+                    delegation.stopRequested()));
       }
     }
+    List<AssignedJob> assigned = new ArrayList<>();
+    byJob.forEach((id, tasks) -> assigned.add(assignedJob(jobs.get(id).spec(), tasks)));
     List<String> closed = new ArrayList<>();
     block.machines().keySet().stream()
         .filter(machine -> fleet.closed(machine) || faulty(machine))
         .forEach(machine -> closed.add(machine.value()));
     return new Assignment(
-        term.value(), block.id().value(), grant.value(), block.nextVersion(), assigned, closed);
+        term.value(),
+        block.id().value(),
+        grant.value(),
+        base,
+        block.send(loop.now()),
+        removed,
+        assigned,
+        closed);
+  }
+
+  private AssignedJob assignedJob(JobSpec spec, List<AssignedTask> tasks) {
+    PlacementNeed need = PlacementNeed.of(spec);
+    return new AssignedJob(
+        spec.id().value(),
+        need.perTask().cpus(),
+        need.perTask().gpus(),
+        need.perTask().memoryGb(),
+        need.image(),
+        spec.checkpointSeconds() > 0 ? spec.saveSeconds() : 0,
+        need.types().stream().map(type -> type.value()).toList(),
+        need.spotAllowed(),
+        ranking().rank(spec.id()),
+        tasks);
   }
 
   void cycleSoon() {
@@ -530,7 +615,11 @@
       return;
     }
     cyclePlanned = true;
+    // A cycle that takes long on a busy processor comes less often: reports, renewals and
+    // acceptance share the loop with it.
     Duration spacing = around.tunables().millis(Tunables.Key.CYCLE_MS);
+    Duration rest = cycleTook.multipliedBy(CYCLE_SHARE);
+    spacing = rest.compareTo(spacing) > 0 ? rest : spacing;
     Duration since = loop.now().since(lastCycle);
     Duration wait = since.compareTo(spacing) >= 0 ? Duration.ofMillis(5) : spacing.minus(since);
     loop.after(
@@ -545,11 +634,13 @@
     if (state != State.LEADING) {
       return;
     }
-    lastCycle = loop.now();
-    Map<BlockId, List<Room>> rooms = rooms();
+    SteadyTime began = loop.now();
+    lastCycle = began;
+    ranking = Optional.empty();
+    List<Room> rooms = rooms();
     Map<TeamId, Resources> inUse = teamUse();
     Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + ++attempts);
-    List<Job> order = ranked();
+    List<Job> order = ranking().order();
     for (Job job : order) {
       if (job.state() == Job.State.ACTIVE && headroom.protects(job.spec())) {
         delegate(job, rooms, inUse, attempt);
@@ -562,10 +653,10 @@
         delegate(job, rooms, inUse, attempt);
       }
     }
+    cycleTook = loop.now().since(began);
   }
 
-  private void delegate(
-      Job job, Map<BlockId, List<Room>> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
+  private void delegate(Job job, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
     TeamId team = job.spec().team();
     Resources used = inUse.getOrDefault(team, Resources.ZERO);
     int allowed = withinLimit(job, used);
@@ -576,16 +667,24 @@
     if (job.spec().kind() == JobKind.GANG && !gangFits(job, need, rooms, allowed)) {
       return;
     }
+    int[] waiting = job.waiting(allowed, loop.now());
     int placed = 0;
     Set<Integer> chunks = new HashSet<>();
-    for (int index : job.waiting(allowed, loop.now())) {
-      BlockId block = choose(job, need, rooms);
-      if (block == null) {
+    while (placed < waiting.length) {
+      Room room = Placer.choose(need, allowedRooms(job, rooms)).orElse(null);
+      if (room == null) {
         break;
       }
-      job.delegate(index, block, blocks.get(block).zone(), attempt);
-      chunks.add(Job.chunkOf(index));
-      placed++;
+      // Where each task changes which zones are left, they are placed one by one.
+      boolean oneByOne = job.spec().spread() || job.spec().oneZone();
+      int count = oneByOne ? 1 : Math.min(room.countOf(need), waiting.length - placed);
+      room.take(need, count);
+      for (int i = 0; i < count; i++) {
+        int index = waiting[placed++];
+        occupancy.enter(
+            job.delegate(index, room.block(), blocks.get(room.block()).zone(), attempt));
+        chunks.add(Job.chunkOf(index));
+      }
     }
     inUse.put(team, used.plus(job.spec().perTask().times(placed)));
     for (int chunk : chunks) {
@@ -593,6 +692,13 @@
     }
   }
 
+  private List<Room> allowedRooms(Job job, List<Room> rooms) {
+    boolean anywhere = job.spec().zone().isEmpty() && !job.spec().oneZone() && !job.spec().spread();
+    return anywhere
+        ? rooms
+        : rooms.stream().filter(room -> zoneAllowed(job, blocks.get(room.block()).zone())).toList();
+  }
+
   private void preempt(List<Job> order, Map<TeamId, Resources> inUse) {
     for (Job job : order) {
       if (!Preemption.mayPreempt(job) || job.waitingCount() == 0) {
@@ -602,8 +708,7 @@
       int wanted = job.waiting(withinLimit(job, used), loop.now()).length;
       for (Delegation victim :
           preemption.victims(job, wanted, order, this::canMakeRoom, loop.now())) {
-        victim.requestStop();
-        touch(victim.block());
+        requestStop(victim);
       }
     }
   }
@@ -619,19 +724,14 @@
             job, delegation.machine().map(machine -> block.machines().get(machine)));
   }
 
-  private void keepHeadroom(Map<BlockId, List<Room>> rooms) {
-    List<Room> all = new ArrayList<>();
-    rooms.values().forEach(all::addAll);
+  private void keepHeadroom(List<Room> rooms) {
     for (Headroom.Kept kept : headroom.kept(loop.now())) {
-      for (int i = 0; i < kept.count(); i++) {
-        Placer.choose(kept.need(), all).ifPresent(room -> room.take(kept.need()));
-      }
+      Placer.fill(kept.need(), kept.count(), rooms, (room, count) -> {});
     }
   }
 
   /** A gang starts as a whole: none of its tasks is out, and there is room for all of them. */
-  private boolean gangFits(
-      Job job, PlacementNeed need, Map<BlockId, List<Room>> rooms, int allowed) {
+  private boolean gangFits(Job job, PlacementNeed need, List<Room> rooms, int allowed) {
     int tasks = job.spec().tasks() - job.doneCount();
     if (job.delegatedCount() > 0
         || allowed < tasks
@@ -639,14 +739,12 @@
       return false;
     }
     Map<ZoneId, Integer> perZone = new HashMap<>();
-    rooms.forEach(
-        (block, list) -> {
-          int fit = list.stream().mapToInt(room -> room.countOf(need)).sum();
-          ZoneId zone = blocks.get(block).zone();
-          if (job.spec().allowsZone(zone)) {
-            perZone.merge(zone, fit, Integer::sum);
-          }
-        });
+    for (Room room : rooms) {
+      ZoneId zone = blocks.get(room.block()).zone();
+      if (job.spec().allowsZone(zone)) {
+        perZone.merge(zone, room.countOf(need), Integer::sum);
+      }
+    }
     if (job.spec().oneZone()) {
       return perZone.values().stream().anyMatch(fit -> fit >= tasks);
     }
@@ -677,26 +775,6 @@
     return use;
   }
 
-  /** The block with the best machine for the task among the zones that the job may use now. */
-  private BlockId choose(Job job, PlacementNeed need, Map<BlockId, List<Room>> rooms) {
-    BlockId best = null;
-    Room bestRoom = null;
-    for (Map.Entry<BlockId, List<Room>> entry : rooms.entrySet()) {
-      if (!zoneAllowed(job, blocks.get(entry.getKey()).zone())) {
-        continue;
-      }
-      Optional<Room> room = Placer.choose(need, entry.getValue());
-      if (room.isPresent() && (bestRoom == null || room.get().score(need) < bestRoom.score(need))) {
-        best = entry.getKey();
-        bestRoom = room.get();
-      }
-    }
-    if (bestRoom != null) {
-      bestRoom.take(need);
-    }
-    return best;
-  }
-
   private static boolean zoneAllowed(Job job, ZoneId zone) {
     if (!job.spec().allowsZone(zone)) {
       return false;
@@ -709,102 +787,62 @@
   }
 
   /** Free room as the holders report it, less what is delegated and not yet placed. */
-  private Map<BlockId, List<Room>> rooms() {
-    Map<BlockId, List<Room>> rooms = new LinkedHashMap<>();
+  private List<Room> rooms() {
+    List<Room> rooms = new ArrayList<>();
     for (LeaderBlock block : blocks.values()) {
-      if (block.lastReport().isPresent()) {
-        rooms.put(block.id(), roomsOf(block));
-      }
-    }
-    for (Job job : jobs.values()) {
-      PlacementNeed need = PlacementNeed.of(job.spec());
-      for (Delegation delegation : job.delegations()) {
-        boolean unplaced =
-            delegation.state() == Delegation.State.WRITING
-                || delegation.state() == Delegation.State.LIVE;
-        List<Room> block = rooms.get(delegation.block());
-        if (unplaced && block != null) {
-          Placer.choose(need, block).ifPresent(room -> room.take(need));
-        }
+      List<Room> found = roomsOf(block);
+      Map<JobId, Integer> unplaced = new LinkedHashMap<>();
+      for (Delegation delegation : occupancy.unplaced(block.id())) {
+        unplaced.merge(delegation.task().job(), 1, Integer::sum);
       }
+      unplaced.forEach(
+          (job, count) ->
+              Placer.fill(PlacementNeed.of(jobs.get(job).spec()), count, found, (r, n) -> {}));
+      rooms.addAll(found);
     }
     return rooms;
   }
 
   private List<Room> roomsOf(LeaderBlock block) {
-    Map<MachineId, Resources> used = new HashMap<>();
-    for (TaskReport task : block.taskReports()) {
-      Job job = jobs.get(new JobId(task.getJob()));
-      boolean bound = !task.getMachine().isEmpty() && !TaskPhase.valueOf(task.getPhase()).isFinal();
-      if (job != null && bound) {
-        used.merge(new MachineId(task.getMachine()), job.spec().perTask(), Resources::plus);
+    List<Room> found = new ArrayList<>();
+    if (!block.hasReported()) {
+      return found;
+    }
+    for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
+      MachineId id = entry.getKey();
+      MachineRecord record = entry.getValue();
+      MachineType type = around.catalog().type(record.type()).orElse(null);
+      MachineReport report = block.reportOf(id).orElse(null);
+      if (type != null && report != null && record.up() && usable(id, report)) {
+        found.add(
+            new Room(
+                id,
+                block.id(),
+                record.type(),
+                record.spot(),
+                type.dearness(record.spot()),
+                type.size(),
+                type.size().minus(occupancy.used(id)),
+                report.getImages()));
       }
     }
-    List<Room> found = new ArrayList<>();
-    block
-        .machines()
-        .forEach(
-            (id, record) -> {
-              Optional<MachineType> type = around.catalog().type(record.type());
-              Optional<MachineReport> report = block.reportOf(id);
-              if (type.isPresent()
-                  && report.isPresent()
-                  && record.up()
-                  && usable(id, report.get())) {
-                found.add(
-                    new Room(
-                        id,
-                        record.type(),
-                        record.spot(),
-                        type.get().dearness(record.spot()),
-                        type.get().size(),
-                        type.get().size().minus(used.getOrDefault(id, Resources.ZERO)),
-                        new HashSet<>(report.get().getImages())));
-              }
-            });
     return found;
   }
 
   private boolean usable(MachineId machine, MachineReport report) {
-    Duration report5 = around.settings().cluster().workers().report().multipliedBy(5).dividedBy(2);
     return report.getPhase().equals(MachinePhase.CONFIRMED.name())
-        && report.getRecallMs() < 0
-        && report.getSilentMs() < report5.toMillis()
+        && !report.getRecalled()
+        && report.getSilence().equals(HeldMachine.Silence.HEARD.name())
         && !fleet.closed(machine)
         && !faulty(machine);
   }
 
-  /** Most urgent first: priority, then guarantee, then who can still make its deadline. */
-  List<Job> ranked() {
-    Map<TeamId, Resources> earlier = new HashMap<>();
-    Map<JobId, Boolean> guaranteed = new HashMap<>();
-    List<Job> byAge = new ArrayList<>(jobs.values());
-    byAge.sort(Comparator.comparingLong(Job::acceptedMillis).thenComparing(j -> j.spec().id()));
-    for (Job job : byAge) {
-      Resources need = job.spec().perTask().times(job.spec().tasks() - job.doneCount());
-      Resources sum = earlier.merge(job.spec().team(), need, Resources::plus);
-      PlatformSettings.Team team = teams.get(job.spec().team().value());
-      guaranteed.put(
-          job.spec().id(),
-          team != null && sum.cpus() <= team.cpus() + 1e-6 && (sum.gpus() <= team.gpus() + 1e-6));
+  /** The order of the current cycle; between cycles it changes little. */
+  Ranking ranking() {
+    if (ranking.isEmpty()) {
+      ranking = Optional.of(Ranking.of(jobs.values(), teams, around.runTimes(), loop.wallMillis()));
     }
-    long now = loop.wallMillis();
-    Comparator<Job> order =
-        Comparator.<Job, Integer>comparing(job -> job.spec().priority().ordinal())
-            .thenComparing(job -> guaranteed.get(job.spec().id()) ? 0 : 1)
-            .thenComparing(job -> late(job, now) ? 1 : 0)
-            .thenComparingLong(this::dueMillis);
-    byAge.sort(order);
-    return byAge;
-  }
-
-  private long dueMillis(Job job) {
-    double due = job.spec().deadlineSeconds().orElse(86_400);
-    return job.acceptedMillis() + (long) (due * 1000);
-  }
-
-  private boolean late(Job job, long now) {
-    return dueMillis(job) < now + (long) (around.runTimes().expectedSeconds(job) * 1000);
+    return ranking.get();
   }
 
   private void sendDigest() {
@@ -847,16 +885,15 @@
     }
 
     private List<Delegation> select(Delegation.State wanted) {
-      return job.delegations().stream()
-          .filter(d -> d.state() == wanted && Job.chunkOf(d.task().index()) == chunk)
-          .toList();
+      return job.delegations(chunk).stream().filter(d -> d.state() == wanted).toList();
     }
 
     @Override
     public void committed(Revision revision) {
-      written.forEach(delegation -> touch(delegation.block()));
-      ended.forEach(delegation -> touch(delegation.block()));
       job.stored(written, ended, revision);
+      // Ends first: a task that comes back to the same block is told as a new one.
+      ended.forEach(Leader.this::untell);
+      written.forEach(Leader.this::tell);
       settle(job);
       cycleSoon();
     }
@@ -865,7 +902,7 @@
   /** The end of a job: from here on users hear done or cancelled. */
   private final class EndUnit implements LeaderJournal.Unit {
     private final Job job;
-    private final Set<BlockId> touched = new HashSet<>();
+    private List<Delegation> left = List.of();
 
     EndUnit(Job job) {
       this.job = job;
@@ -880,7 +917,7 @@
       if (job.chunks() == 1 && journal.knows(Keys.progress(id, 0))) {
         writes.add(Write.delete(Keys.progress(id, 0)));
       }
-      job.delegations().forEach(delegation -> touched.add(delegation.block()));
+      left = List.copyOf(job.delegations());
       return writes;
     }
 
@@ -904,7 +941,8 @@
       job.finishEnd();
       jobs.remove(id);
       journal.forgotten(Keys.ended(id));
-      touched.forEach(Leader.this::touch);
+      left.forEach(occupancy::leave);
+      left.forEach(Leader.this::untell);
       cycleSoon();
     }
   }
--- a/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
+++ b/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
@@ -1,22 +1,31 @@
 package org.mulleinshift.coordination;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
+import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.NodeId;
 import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.TaskId;
 import org.mulleinshift.protocol.ZoneId;
 import org.mulleinshift.protocol.peer.BlockReport;
 import org.mulleinshift.protocol.peer.MachineReport;
-import org.mulleinshift.protocol.peer.TaskReport;
 import org.mulleinshift.transport.SteadyTime;
 
-/** A block as the leader knows it. */
+/**
+ * A block as the leader knows it: its machines, what its holder reported, and which tasks the
+ * holder was or will be told of. Both directions carry only what has changed since a version that
+ * the other side confirmed, so that a message costs what changed and not the size of the block.
+ */
 final class LeaderBlock {
   /** A block's standing grant. */
   record Grant(NodeId holder, Revision revision) {}
@@ -25,80 +34,165 @@
   private final ZoneId zone;
   private final Map<MachineId, MachineRecord> machines = new TreeMap<>();
   private final Map<MachineId, MachineReport> reports = new HashMap<>();
+  private final Map<TaskId, Delegation> told = new LinkedHashMap<>();
+  private final ChangeLog<TaskId> changes = new ChangeLog<>();
   private Optional<Grant> grant = Optional.empty();
-  private Optional<BlockReport> lastReport = Optional.empty();
+  private boolean reported;
+  private long lastSequence;
+  private long seenSequence;
   private SteadyTime reportedAt;
   private SteadyTime heardAt;
-  private long seenVersion;
-  private long version = 1;
-  private boolean assignmentDirty = true;
+  private SteadyTime waitingSince;
+  private long confirmedVersion;
+  private long heardVersion;
+  private long sentVersion;
+  private long base;
+  private boolean dirty = true;
 
   LeaderBlock(BlockId id, ZoneId zone, SteadyTime now) {
     this.id = id;
     this.zone = zone;
     this.reportedAt = now;
     this.heardAt = now;
+    this.waitingSince = now;
   }
 
   void grant(Optional<Grant> next, SteadyTime now) {
     if (!next.equals(grant)) {
       grant = next;
       heardAt = now;
-      seenVersion = 0;
-      lastReport = Optional.empty();
+      heardVersion = 0;
+      reported = false;
+      lastSequence = 0;
+      seenSequence = 0;
       reports.clear();
-      assignmentDirty = true;
+      // A new holder is sent the full set, under a higher version.
+      confirmedVersion = 0;
+      changes.clear();
+      dirty = true;
+      base = 0;
     }
   }
 
-  void reported(BlockReport report, SteadyTime now) {
-    lastReport = Optional.of(report);
+  /** Whether the report continues what is known; if not, the holder must tell again. */
+  boolean continues(BlockReport report) {
+    return report.getBase() <= lastSequence;
+  }
+
+  /** Takes over the report's machines; tells which of them it named. */
+  List<MachineId> reported(BlockReport report, SteadyTime now) {
+    reported = true;
+    lastSequence = report.getSequence();
     reportedAt = now;
-    reports.clear();
+    if (report.getBase() == 0) {
+      reports.clear();
+    }
+    List<MachineId> named = new ArrayList<>();
     for (MachineReport machine : report.getMachines()) {
-      reports.put(new MachineId(machine.getMachine()), machine);
+      MachineId key = new MachineId(machine.getMachine());
+      reports.put(key, machine);
+      named.add(key);
+    }
+    return named;
+  }
+
+  /** The version up to which the holder knows the set of this term. */
+  void confirmed(long version, SteadyTime now) {
+    if (version > confirmedVersion) {
+      confirmedVersion = version;
+      waitingSince = now;
+      changes.confirmed(version);
     }
   }
 
+  boolean hasReported() {
+    return reported;
+  }
+
+  long lastSequence() {
+    return lastSequence;
+  }
+
+  /** Whether the holder should hear up to where it is known; asked once for each report. */
+  boolean sequenceToConfirm() {
+    boolean news = seenSequence != lastSequence;
+    seenSequence = lastSequence;
+    return news;
+  }
+
   Optional<MachineReport> reportOf(MachineId machine) {
     return Optional.ofNullable(reports.get(machine));
   }
 
-  Iterable<TaskReport> taskReports() {
-    return lastReport.<Iterable<TaskReport>>map(BlockReport::getTasks).orElse(java.util.List.of());
+  /** A stored delegation that the holder is to hear of, or hear of again. */
+  void tell(Delegation delegation) {
+    told.put(delegation.task(), delegation);
+    changes.changed(delegation.task(), sentVersion + 1);
+    dirty = true;
+  }
+
+  void untell(Delegation delegation) {
+    if (told.remove(delegation.task(), delegation)) {
+      changes.changed(delegation.task(), sentVersion + 1);
+      dirty = true;
+    }
+  }
+
+  Collection<Delegation> told() {
+    return told.values();
+  }
+
+  Optional<Delegation> told(TaskId task) {
+    return Optional.ofNullable(told.get(task));
   }
 
   void changed() {
-    assignmentDirty = true;
+    dirty = true;
   }
 
-  /** The version to send, a new one if the set has changed. */
-  long nextVersion() {
-    if (assignmentDirty) {
-      assignmentDirty = false;
-      version++;
+  /** Whether something is to be sent that was not sent yet. */
+  boolean dirty() {
+    return dirty;
+  }
+
+  /** Whether the holder has long not confirmed what was sent: it is sent from there again. */
+  boolean lost(SteadyTime now, Duration patience) {
+    boolean lost =
+        confirmedVersion < sentVersion && now.since(waitingSince).compareTo(patience) >= 0;
+    if (lost) {
+      base = confirmedVersion;
+      waitingSince = now;
     }
-    return version;
+    return lost;
+  }
+
+  /** The version on which the next message builds; 0: it holds the full set. */
+  long base() {
+    return base;
   }
 
-  boolean assignmentDirty() {
-    return assignmentDirty;
+  /** Tasks to name in a message that builds on this version. */
+  List<TaskId> changesSince(long version) {
+    return version == 0 ? List.copyOf(told.keySet()) : changes.since(version);
   }
 
-  boolean acknowledged(long term) {
-    return !assignmentDirty
-        && lastReport
-            .filter(r -> r.getSeenTerm() == term && r.getSeenVersion() >= version)
-            .isPresent();
+  /** A message is sent; tells its version. */
+  long send(SteadyTime now) {
+    dirty = false;
+    if (confirmedVersion >= sentVersion) {
+      waitingSince = now;
+    }
+    sentVersion++;
+    base = sentVersion;
+    return sentVersion;
   }
 
   /** For how long the holder has shown no sign of anything new that was sent to it. */
-  Duration unheard(long term, SteadyTime now) {
-    long seen =
-        lastReport.filter(r -> r.getSeenTerm() == term).map(BlockReport::getSeenVersion).orElse(0L);
-    if (acknowledged(term) || seen > seenVersion || grant.isEmpty()) {
+  Duration unheard(SteadyTime now) {
+    boolean all = !dirty && confirmedVersion >= sentVersion;
+    if (all || confirmedVersion > heardVersion || grant.isEmpty()) {
       heardAt = now;
-      seenVersion = seen;
+      heardVersion = confirmedVersion;
     }
     return now.since(heardAt);
   }
@@ -119,10 +213,6 @@
     return grant;
   }
 
-  Optional<BlockReport> lastReport() {
-    return lastReport;
-  }
-
   SteadyTime reportedAt() {
     return reportedAt;
   }
--- a/src/main/java/org/mulleinshift/coordination/Placer.java
+++ b/src/main/java/org/mulleinshift/coordination/Placer.java
@@ -7,6 +7,30 @@
 final class Placer {
   private Placer() {}
 
+  /** Takes room for some of several equal tasks on a machine. */
+  interface Taker {
+    void take(Room room, int count);
+  }
+
+  /**
+   * Takes room for up to so many equal tasks; tells for how many. The outcome is that of choosing
+   * for each task anew: a room that was chosen only becomes a better choice, until it is full.
+   */
+  static int fill(PlacementNeed need, int count, Collection<Room> rooms, Taker taker) {
+    int left = count;
+    while (left > 0) {
+      Room room = choose(need, rooms).orElse(null);
+      if (room == null) {
+        break;
+      }
+      int taken = Math.min(left, room.countOf(need));
+      room.take(need, taken);
+      taker.take(room, taken);
+      left -= taken;
+    }
+    return count - left;
+  }
+
   static Optional<Room> choose(PlacementNeed need, Collection<Room> rooms) {
     Room best = null;
     double bestScore = 0;
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -1,6 +1,9 @@
 package org.mulleinshift.coordination;
 
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.Set;
+import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineTypeId;
 import org.mulleinshift.protocol.Resources;
@@ -12,28 +15,32 @@
   private static final double PRICE_WEIGHT = 300;
 
   private final MachineId machine;
+  private final BlockId block;
   private final MachineTypeId type;
   private final boolean spot;
   private final Resources size;
-  private final Set<String> images;
+  private final Collection<String> known;
+  private final Set<String> coming = new HashSet<>(2);
   private final double dearness;
   private Resources free;
 
   Room(
       MachineId machine,
+      BlockId block,
       MachineTypeId type,
       boolean spot,
       double dearness,
       Resources size,
       Resources free,
-      Set<String> images) {
+      Collection<String> images) {
     this.machine = machine;
+    this.block = block;
     this.type = type;
     this.spot = spot;
     this.dearness = dearness;
     this.size = size;
     this.free = free;
-    this.images = images;
+    this.known = images;
   }
 
   boolean takes(PlacementNeed need) {
@@ -46,8 +53,12 @@
   }
 
   void take(PlacementNeed need) {
-    free = free.minus(need.perTask());
-    images.add(need.image());
+    take(need, 1);
+  }
+
+  void take(PlacementNeed need, int count) {
+    free = free.minus(need.perTask().times(count));
+    coming.add(need.image());
   }
 
   void give(Resources amount) {
@@ -64,7 +75,8 @@
     left += size.cpus() > 0 ? (free.cpus() - need.perTask().cpus()) : 0;
     left += size.gpus() > 0 ? 8 * (free.gpus() - need.perTask().gpus()) : 0;
     left += size.memoryGb() > 0 ? (free.memoryGb() - need.perTask().memoryGb()) / 16 : 0;
-    return left + (images.contains(need.image()) ? 0 : IMAGE_WEIGHT);
+    return left
+        + (known.contains(need.image()) || coming.contains(need.image()) ? 0 : IMAGE_WEIGHT);
   }
 
   /** A measure for choosing what to drain first. */
@@ -76,6 +88,17 @@
     return machine;
   }
 
+  BlockId block() {
+    return block;
+  }
+
+  /** The same room, to be taken from in a trial. */
+  Room copy() {
+    Room copy = new Room(machine, block, type, spot, dearness, size, free, known);
+    copy.coming.addAll(coming);
+    return copy;
+  }
+
   boolean spot() {
     return spot;
   }
--- a/src/main/java/org/mulleinshift/coordination/Walk.java
+++ b/src/main/java/org/mulleinshift/coordination/Walk.java
@@ -1,7 +1,9 @@
 package org.mulleinshift.coordination;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.PriorityQueue;
 import java.util.Set;
@@ -53,12 +55,30 @@
     Set<MachineId> used = new HashSet<>();
     for (int step = 0; step <= steps; step++) {
       double time = horizon * step / steps;
+      // What found no room before can only find it where some became free since.
+      Collection<Room> grown = step == 0 ? rooms : new LinkedHashSet<>();
       while (!due.isEmpty() && due.peek().atSeconds() <= time) {
         Release release = due.poll();
         release.room().give(release.amount());
+        if (step > 0) {
+          grown.add(release.room());
+        }
       }
       for (Waiting group : waiting) {
-        take(group, rooms, time, due, used);
+        if (group.count > 0 && !grown.isEmpty()) {
+          group.count -=
+              Placer.fill(
+                  group.need,
+                  group.count,
+                  grown,
+                  (room, count) -> {
+                    used.add(room.machine());
+                    double end = time + group.runSeconds;
+                    if (end <= horizon) {
+                      due.add(new Release(end, room, group.need.perTask().times(count)));
+                    }
+                  });
+        }
       }
     }
     List<Waiting> shortage = new ArrayList<>();
@@ -69,22 +89,4 @@
     }
     return new Result(shortage, used);
   }
-
-  private static void take(
-      Waiting group,
-      List<Room> rooms,
-      double time,
-      PriorityQueue<Release> due,
-      Set<MachineId> used) {
-    while (group.count > 0) {
-      Room room = Placer.choose(group.need, rooms).orElse(null);
-      if (room == null) {
-        return;
-      }
-      room.take(group.need);
-      used.add(room.machine());
-      due.add(new Release(time + group.runSeconds, room, group.need.perTask()));
-      group.count--;
-    }
-  }
 }
--- a/src/main/java/org/mulleinshift/protocol/PeerCodec.java
+++ b/src/main/java/org/mulleinshift/protocol/PeerCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.List;
 import org.apache.avro.AvroRuntimeException;
 import org.apache.avro.io.BinaryEncoder;
 import org.apache.avro.io.DecoderFactory;
@@ -20,11 +21,11 @@
   private final SpecificDatumWriter<PeerFrame> writer = new SpecificDatumWriter<>(PeerFrame.class);
   private final SpecificDatumReader<PeerFrame> reader = new SpecificDatumReader<>(PeerFrame.class);
 
-  public byte[] write(NodeId sender, Object body) {
+  public byte[] write(NodeId sender, List<Object> bodies) {
     ByteArrayOutputStream out = new ByteArrayOutputStream(512);
     BinaryEncoder encoder = EncoderFactory.get().directBinaryEncoder(out, null);
     try {
-      writer.write(new PeerFrame(sender.value(), body), encoder);
+      writer.write(new PeerFrame(sender.value(), bodies), encoder);
       encoder.flush();
     } catch (IOException e) {
       throw new IllegalStateException(e);
