Batches pass the write budget, blocks are shared evenly, the walk knows fixed zones

Grants on their way were not counted, so one controller got all new blocks. The catalog's arrival was not told to the election, which waited for a watch to end (8 s at the start). Every change of a control key cost each controller two requests at once.

--- a/src/main/java/org/mulleinshift/bookkeeping/PrefixView.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/PrefixView.java
@@ -10,6 +10,7 @@
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.SteadyTime;
 
 /** Follows all keys with a prefix: reads them once, then watches, and reads again when it must. */
 public final class PrefixView {
@@ -34,16 +35,19 @@
   private final EventLoop loop;
   private final StateStore store;
   private final String prefix;
+  private final Duration spacing;
   private final Listener listener;
   private final Map<String, Revision> versions = new HashMap<>();
   private State state = State.IDLE;
   private Revision revision = new Revision(0);
   private long round;
 
-  public PrefixView(EventLoop loop, StateStore store, String prefix, Listener listener) {
+  public PrefixView(
+      EventLoop loop, StateStore store, String prefix, Duration spacing, Listener listener) {
     this.loop = loop;
     this.store = store;
     this.prefix = prefix;
+    this.spacing = spacing;
     this.listener = listener;
   }
 
@@ -108,6 +112,7 @@
 
   private void watch() {
     long mine = enter(State.WATCHING);
+    SteadyTime opened = loop.now();
     store.watch(
         prefix,
         revision,
@@ -117,7 +122,7 @@
           }
           if (answer instanceof StateStore.Answer.Found<StateCodec.Changes> found) {
             apply(found.value());
-            watch();
+            watchAgain(opened);
           } else if (answer instanceof StateStore.Answer.Absent<StateCodec.Changes>) {
             // 410: the service no longer keeps the changes since our revision.
             read();
@@ -127,6 +132,23 @@
         });
   }
 
+  /** Changes that follow each other closely share an answer. */
+  private void watchAgain(SteadyTime opened) {
+    Duration since = loop.now().since(opened);
+    if (since.compareTo(spacing) >= 0) {
+      watch();
+      return;
+    }
+    long mine = round;
+    loop.after(
+        spacing.minus(since),
+        () -> {
+          if (mine == round) {
+            watch();
+          }
+        });
+  }
+
   private void apply(StateCodec.Changes seen) {
     for (StateCodec.Change change : seen.changes()) {
       Revision known = versions.get(change.key());
--- a/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
@@ -34,7 +34,9 @@
   /** Whether a call may wait for the budget. Renewals and acceptance may not. */
   public enum Urgency {
     URGENT(0),
-    NORMAL(0.1),
+    /** Someone waits for it, but it may be refused. */
+    PROMPT(0),
+    NORMAL(0.15),
     LOW(0.4);
 
     private final double reserve;
@@ -82,7 +84,7 @@
   private final RateBudget requests;
   private final RateBudget writes;
   private final double requestRate;
-  private final double writeRate;
+  private double writeRate;
 
   public StateStore(
       EventLoop loop,
@@ -101,6 +103,12 @@
     this.writes = new RateBudget(loop, writeRate);
   }
 
+  /** This node's share of the writes changes with its role. */
+  public void writeRate(double next) {
+    writeRate = next;
+    writes.rate(next);
+  }
+
   public void get(String key, Urgency urgency, Consumer<Answer<Item>> then) {
     call(HttpRequest.get(StateCodec.keyPath(key), DEADLINE), urgency, StateCodec::parseItem, then);
   }
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -29,6 +29,7 @@
 import org.mulleinshift.protocol.TaskId;
 import org.mulleinshift.protocol.WorkerCodec;
 import org.mulleinshift.protocol.WorkerReport;
+import org.mulleinshift.protocol.ZoneId;
 import org.mulleinshift.protocol.peer.AssignedJob;
 import org.mulleinshift.protocol.peer.AssignedTask;
 import org.mulleinshift.protocol.peer.Assignment;
@@ -54,6 +55,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(BlockHolder.class);
   private static final Duration ORDERS_DEADLINE = Duration.ofMillis(1200);
   private static final Duration UNPLACEABLE = Duration.ofMillis(1500);
+
+  /** A block lies in one zone, and the leader chose it. */
+  private static final ZoneId ANY_ZONE = new ZoneId("");
+
   private static final int MOST_ORDERS = 200;
 
   /** What a holder needs of its node. */
@@ -229,6 +234,7 @@
         new Resources(job.getCpus(), job.getGpus(), job.getMemoryGb()),
         job.getImage(),
         job.getMachineTypes().stream().map(MachineTypeId::new).toList(),
+        Optional.empty(),
         job.getSpotAllowed());
   }
 
@@ -534,6 +540,7 @@
           new Room(
               machine.id(),
               id,
+              ANY_ZONE,
               type.get().id(),
               machine.record().spot(),
               type.get().dearness(machine.record().spot()),
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/BlockSharing.java
@@ -0,0 +1,125 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.protocol.ZoneId;
+import org.mulleinshift.transport.SteadyTime;
+
+/**
+ * Which controller is to hold which block: blocks without a live holder go to the controller with
+ * the least to do, near ones first; when loads have come apart, one block at a time moves.
+ */
+final class BlockSharing {
+  private static final double OTHER_ZONE = 8;
+  private static final double PER_BLOCK = 2;
+
+  /** What the leader does besides, as a share of an even load. */
+  private static final double LEADING = 0.25;
+
+  private static final double LEAST_LEADING = 6;
+  private static final double LEAST_DIFFERENCE = 16;
+  private static final Duration SETTLED = Duration.ofSeconds(8);
+  private static final Duration BETWEEN_MOVES = Duration.ofSeconds(4);
+
+  /** A block and its next holder. */
+  record Move(LeaderBlock block, NodeId holder) {}
+
+  private final NodeId self;
+  private final Map<NodeId, ZoneId> zones;
+  private final Map<NodeId, SteadyTime> liveSince = new HashMap<>();
+  private SteadyTime movedAt;
+
+  BlockSharing(NodeId self, Map<NodeId, ZoneId> zones, SteadyTime now) {
+    this.self = self;
+    this.zones = zones;
+    this.movedAt = now;
+  }
+
+  /**
+   * The grants to make now. A holder that hears nothing counts as the last choice for its block.
+   */
+  List<Move> moves(
+      Collection<LeaderBlock> blocks, List<NodeId> live, Duration deafAfter, SteadyTime now) {
+    liveSince.keySet().retainAll(live);
+    live.forEach(node -> liveSince.putIfAbsent(node, now));
+    Map<NodeId, Double> loads = loads(blocks, live);
+    List<Move> moves = new ArrayList<>();
+    if (live.isEmpty()) {
+      return moves;
+    }
+    for (LeaderBlock block : blocks) {
+      Optional<NodeId> holder = block.holder();
+      boolean held = holder.filter(live::contains).isPresent();
+      boolean deaf = held && block.unheard(now).compareTo(deafAfter) > 0;
+      if ((held && !deaf) || block.granting().isPresent()) {
+        continue;
+      }
+      NodeId best =
+          live.stream()
+              .min(
+                  Comparator.comparingDouble(
+                      node ->
+                          loads.get(node)
+                              + distance(node, block)
+                              + (deaf && holder.get().equals(node) ? 1e6 : 0)))
+              .get();
+      loads.merge(best, weight(block), Double::sum);
+      moves.add(new Move(block, best));
+    }
+    if (moves.isEmpty() && now.since(movedAt).compareTo(BETWEEN_MOVES) >= 0) {
+      evenOut(blocks, loads, now).ifPresent(moves::add);
+    }
+    if (!moves.isEmpty()) {
+      movedAt = now;
+    }
+    return moves;
+  }
+
+  /** The move that brings the most and the least loaded controllers closest to each other. */
+  private Optional<Move> evenOut(
+      Collection<LeaderBlock> blocks, Map<NodeId, Double> loads, SteadyTime now) {
+    loads.keySet().removeIf(node -> now.since(liveSince.get(node)).compareTo(SETTLED) < 0);
+    if (loads.size() < 2) {
+      return Optional.empty();
+    }
+    Comparator<NodeId> byLoad = Comparator.<NodeId>comparingDouble(loads::get);
+    NodeId most = loads.keySet().stream().max(byLoad.thenComparing(NodeId::value)).get();
+    NodeId least = loads.keySet().stream().min(byLoad.thenComparing(NodeId::value)).get();
+    double difference = loads.get(most) - loads.get(least);
+    return blocks.stream()
+        .filter(block -> block.granting().isEmpty() && block.holder().equals(Optional.of(most)))
+        .filter(block -> !block.machines().isEmpty())
+        .filter(block -> difference >= LEAST_DIFFERENCE && weight(block) <= difference * 0.75)
+        .min(Comparator.comparingDouble(block -> Math.abs(difference - 2 * weight(block))))
+        .map(block -> new Move(block, least));
+  }
+
+  private Map<NodeId, Double> loads(Collection<LeaderBlock> blocks, List<NodeId> live) {
+    Map<NodeId, Double> loads = new HashMap<>();
+    live.forEach(node -> loads.put(node, 0.0));
+    double total = 0;
+    for (LeaderBlock block : blocks) {
+      total += weight(block);
+      Optional<NodeId> holder = block.granting().or(block::holder);
+      holder.ifPresent(node -> loads.computeIfPresent(node, (n, load) -> load + weight(block)));
+    }
+    double leading = Math.max(LEAST_LEADING, LEADING * total / Math.max(1, live.size()));
+    loads.computeIfPresent(self, (node, load) -> load + leading);
+    return loads;
+  }
+
+  private static double weight(LeaderBlock block) {
+    return PER_BLOCK + block.machines().size();
+  }
+
+  private double distance(NodeId node, LeaderBlock block) {
+    return block.zone().equals(zones.get(node)) ? 0 : OTHER_ZONE;
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -44,6 +44,9 @@
 public final class Controller implements RequestHandler {
   private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
   private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+  private static final double LEADER_WRITES = 0.75;
+  private static final double OTHER_WRITES = 0.4;
+  private static final double WATCH_SHARE = 0.25;
   private static final Duration STORE_LOST = Duration.ofSeconds(4);
 
   /** The ways out of the process. */
@@ -95,9 +98,10 @@
             outside.watches(),
             settings.state(),
             cluster.state().requestsPerSecond() * Math.min(1, share * 1.4),
-            cluster.state().writesPerSecond() * Math.min(1, share * 1.6));
-    this.control = new PrefixView(loop, store, Keys.CONTROL, new ControlListener());
-    this.jobs = new PrefixView(loop, store, Keys.ACTIVE, new JobListener());
+            writeRate(false));
+    Duration spacing = watchSpacing(cluster);
+    this.control = new PrefixView(loop, store, Keys.CONTROL, spacing, new ControlListener());
+    this.jobs = new PrefixView(loop, store, Keys.ACTIVE, spacing, new JobListener());
     Duration blockLease = blockLease(cluster.workers(), tunables);
     this.session =
         new Session(
@@ -114,7 +118,7 @@
             self,
             tunables.seconds(Tunables.Key.LEADER_LEASE_S),
             new ElectionListener());
-    this.catalog = new Catalog(loop, outside.cloud(), settings.cloud(), () -> {});
+    this.catalog = new Catalog(loop, outside.cloud(), settings.cloud(), this::onSessionChange);
     this.desk =
         new HolderDesk(
             self,
@@ -158,6 +162,23 @@
     return left.compareTo(least) < 0 ? least : left;
   }
 
+  /** The leader writes most: all progress of jobs and machines. The others accept and cancel. */
+  private double writeRate(boolean leading) {
+    int others = Math.max(1, settings.cluster().size() - 1);
+    double share =
+        leading || settings.cluster().size() == 1 ? LEADER_WRITES : OTHER_WRITES / others;
+    return settings.cluster().state().writesPerSecond() * share;
+  }
+
+  /**
+   * Every change that is watched costs each controller a request: they share a part of the rate.
+   */
+  private static Duration watchSpacing(PlatformSettings.Cluster cluster) {
+    double watches = 2.0 * cluster.size();
+    double seconds = watches / (WATCH_SHARE * cluster.state().requestsPerSecond());
+    return Duration.ofMillis((long) (1000 * seconds));
+  }
+
   private static Duration shorter(Duration one, Duration other) {
     return one.compareTo(other) < 0 ? one : other;
   }
@@ -397,6 +418,7 @@
               cloud,
               term);
       leader = Optional.of(next);
+      store.writeRate(writeRate(true));
       next.start();
     }
 
@@ -404,6 +426,7 @@
     public void lost() {
       leader.ifPresent(Leader::retire);
       leader = Optional.empty();
+      store.writeRate(writeRate(false));
       loop.after(Duration.ofMillis(500), Controller.this::observeElection);
     }
   }
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -302,6 +302,7 @@
                     new Room(
                         id,
                         block.id(),
+                        block.zone(),
                         record.type(),
                         record.spot(),
                         type.get().dearness(record.spot()),
@@ -333,6 +334,7 @@
             new Room(
                 new MachineId(rental.name() + "#" + i),
                 NO_BLOCK,
+                rental.zone(),
                 rental.type(),
                 rental.spot(),
                 type.dearness(rental.spot()),
@@ -436,6 +438,7 @@
         new Room(
             new MachineId("new-" + fresh.size()),
             NO_BLOCK,
+            offer.zone(),
             offer.type(),
             offer.spot(),
             0,
@@ -458,7 +461,7 @@
       for (ZoneId zone : type.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(type.id(), zone, spot);
-          if (!need.allows(type.id(), spot) || !available(offer)) {
+          if (!need.allows(type.id(), spot) || !need.allowsZone(zone) || !available(offer)) {
             continue;
           }
           // Large machines are kept for the tasks that need them unless they cost far less.
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -169,7 +169,7 @@
             new Guard(Keys.active(spec.id()), new Revision(0)),
             new Guard(Keys.ended(spec.id()), new Revision(0))),
         List.of(Write.put(Keys.active(spec.id()), value)),
-        StateStore.Urgency.NORMAL,
+        StateStore.Urgency.PROMPT,
         outcome -> {
           if (outcome instanceof Outcome.Committed) {
             respond(spec.id(), 201, JobPhase.PENDING, responder);
@@ -230,7 +230,7 @@
         List.of(
             Write.put(
                 Keys.active(job.id()), JobRecord.value(job.spec(), job.acceptedMillis(), true))),
-        StateStore.Urgency.NORMAL,
+        StateStore.Urgency.PROMPT,
         outcome -> {
           if (outcome instanceof Outcome.Committed) {
             ended.put(job.id(), JobPhase.CANCELLED);
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -104,6 +103,7 @@
   private final Fleet fleet;
   private final Headroom headroom;
   private final Preemption preemption;
+  private final BlockSharing sharing;
   private final SteadyTime startedAt;
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
@@ -135,6 +135,8 @@
             around.tunables().seconds(Tunables.Key.HEADROOM_LASTS_S));
     this.preemption = new Preemption(around.tunables().number(Tunables.Key.PREEMPT_RAN_S));
     this.fleet = new Fleet(this, around, cloud, term);
+    this.sharing =
+        new BlockSharing(around.self(), zonesOf(around.self(), around.settings()), loop.now());
   }
 
   /** The only place where the state changes. */
@@ -482,7 +484,7 @@
     }
   }
 
-  /** Grants blocks whose holder is gone or silent to a live controller, near ones first. */
+  /** A controller that is silent for long, or has no session, holds nothing. */
   private void assignBlocks() {
     List<NodeId> live = new ArrayList<>();
     Duration limit = around.tunables().seconds(Tunables.Key.PEER_SILENT_S);
@@ -493,47 +495,21 @@
         live.add(node);
       }
     }
-    for (LeaderBlock block : blocks.values()) {
-      boolean held = block.grant().filter(grant -> live.contains(grant.holder())).isPresent();
-      String key = Keys.grant(block.id());
-      // A holder may be heard and yet hear nothing: then its block would stand still.
-      boolean deaf = block.unheard(loop.now()).compareTo(limit.multipliedBy(2)) > 0;
-      if ((!held || deaf) && !live.isEmpty() && !journal.pending(key)) {
-        Optional<NodeId> deafOne =
-            deaf ? block.grant().map(LeaderBlock.Grant::holder) : Optional.empty();
-        NodeId best =
-            live.stream()
-                .min(
-                    Comparator.comparingInt(
-                        n -> load(n, block) + (deafOne.equals(Optional.of(n)) ? 1000 : 0)))
-                .get();
-        LOG.info("granting {} to {}", block.id(), best);
-        journal.submit(key, new GrantUnit(block, best));
-      }
-    }
-  }
-
-  private int load(NodeId node, LeaderBlock wanted) {
-    int load = node.equals(around.self()) ? 6 : 0;
-    load += zoneOfNode(node).equals(wanted.zone()) ? 0 : 8;
-    for (LeaderBlock block : blocks.values()) {
-      if (block.grant().filter(grant -> grant.holder().equals(node)).isPresent()) {
-        load += 2 + block.machines().size();
-      }
+    for (BlockSharing.Move move :
+        sharing.moves(blocks.values(), live, limit.multipliedBy(2), loop.now())) {
+      LOG.info("granting {} to {}", move.block().id(), move.holder());
+      move.block().granting(Optional.of(move.holder()));
+      journal.submit(Keys.grant(move.block().id()), new GrantUnit(move.block(), move.holder()));
     }
-    return load;
   }
 
-  private ZoneId zoneOfNode(NodeId node) {
-    if (node.equals(around.self())) {
-      return new ZoneId(around.settings().zone());
-    }
-    for (PlatformSettings.Member member : around.settings().members()) {
-      if (member.label().equals(node.value())) {
-        return new ZoneId(member.zone());
-      }
-    }
-    return new ZoneId("");
+  private static Map<NodeId, ZoneId> zonesOf(NodeId self, PlatformSettings settings) {
+    Map<NodeId, ZoneId> zones = new HashMap<>();
+    zones.put(self, new ZoneId(settings.zone()));
+    settings
+        .members()
+        .forEach(member -> zones.put(new NodeId(member.label()), new ZoneId(member.zone())));
+    return zones;
   }
 
   private void sendSoon() {
@@ -681,8 +657,7 @@
       room.take(need, count);
       for (int i = 0; i < count; i++) {
         int index = waiting[placed++];
-        occupancy.enter(
-            job.delegate(index, room.block(), blocks.get(room.block()).zone(), attempt));
+        occupancy.enter(job.delegate(index, room.block(), room.zone(), attempt));
         chunks.add(Job.chunkOf(index));
       }
     }
@@ -694,9 +669,7 @@
 
   private List<Room> allowedRooms(Job job, List<Room> rooms) {
     boolean anywhere = job.spec().zone().isEmpty() && !job.spec().oneZone() && !job.spec().spread();
-    return anywhere
-        ? rooms
-        : rooms.stream().filter(room -> zoneAllowed(job, blocks.get(room.block()).zone())).toList();
+    return anywhere ? rooms : rooms.stream().filter(room -> zoneAllowed(job, room.zone())).toList();
   }
 
   private void preempt(List<Job> order, Map<TeamId, Resources> inUse) {
@@ -740,7 +713,7 @@
     }
     Map<ZoneId, Integer> perZone = new HashMap<>();
     for (Room room : rooms) {
-      ZoneId zone = blocks.get(room.block()).zone();
+      ZoneId zone = room.zone();
       if (job.spec().allowsZone(zone)) {
         perZone.merge(zone, room.countOf(need), Integer::sum);
       }
@@ -818,6 +791,7 @@
             new Room(
                 id,
                 block.id(),
+                block.zone(),
                 record.type(),
                 record.spot(),
                 type.dearness(record.spot()),
@@ -960,6 +934,9 @@
     @Override
     public List<Write> writes() {
       ControlView.NodeRecord node = around.view().nodes().get(holder);
+      if (node == null) {
+        block.granting(Optional.empty());
+      }
       return node == null
           ? List.of()
           : List.of(Write.put(Keys.grant(block.id()), ControlView.grantValue(holder), node.hold()));
@@ -967,6 +944,7 @@
 
     @Override
     public void committed(Revision revision) {
+      block.granting(Optional.empty());
       block.grant(Optional.of(new LeaderBlock.Grant(holder, revision)), loop.now());
       sendSoon();
     }
--- a/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
+++ b/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
@@ -37,6 +37,7 @@
   private final Map<TaskId, Delegation> told = new LinkedHashMap<>();
   private final ChangeLog<TaskId> changes = new ChangeLog<>();
   private Optional<Grant> grant = Optional.empty();
+  private Optional<NodeId> granting = Optional.empty();
   private boolean reported;
   private long lastSequence;
   private long seenSequence;
@@ -213,6 +214,19 @@
     return grant;
   }
 
+  Optional<NodeId> holder() {
+    return grant.map(Grant::holder);
+  }
+
+  /** The next holder, while the grant is being stored. */
+  Optional<NodeId> granting() {
+    return granting;
+  }
+
+  void granting(Optional<NodeId> next) {
+    granting = next;
+  }
+
   SteadyTime reportedAt() {
     return reportedAt;
   }
--- a/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
+++ b/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
@@ -1,16 +1,30 @@
 package org.mulleinshift.coordination;
 
 import java.util.List;
+import java.util.Optional;
 import org.mulleinshift.protocol.JobSpec;
 import org.mulleinshift.protocol.MachineTypeId;
 import org.mulleinshift.protocol.Resources;
+import org.mulleinshift.protocol.ZoneId;
 
 /** What a task asks of a machine. An empty list of types allows all. */
 record PlacementNeed(
-    Resources perTask, String image, List<MachineTypeId> types, boolean spotAllowed) {
+    Resources perTask,
+    String image,
+    List<MachineTypeId> types,
+    Optional<ZoneId> zone,
+    boolean spotAllowed) {
   static PlacementNeed of(JobSpec spec) {
     return new PlacementNeed(
-        spec.perTask(), spec.image(), spec.machineTypes().orElse(List.of()), spec.spotAllowed());
+        spec.perTask(),
+        spec.image(),
+        spec.machineTypes().orElse(List.of()),
+        spec.zone(),
+        spec.spotAllowed());
+  }
+
+  boolean allowsZone(ZoneId candidate) {
+    return zone.isEmpty() || zone.get().equals(candidate);
   }
 
   boolean allows(MachineTypeId type, boolean spot) {
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -7,6 +7,7 @@
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineTypeId;
 import org.mulleinshift.protocol.Resources;
+import org.mulleinshift.protocol.ZoneId;
 
 /** Free room on one machine while a plan is made. */
 final class Room {
@@ -16,6 +17,7 @@
 
   private final MachineId machine;
   private final BlockId block;
+  private final ZoneId zone;
   private final MachineTypeId type;
   private final boolean spot;
   private final Resources size;
@@ -27,6 +29,7 @@
   Room(
       MachineId machine,
       BlockId block,
+      ZoneId zone,
       MachineTypeId type,
       boolean spot,
       double dearness,
@@ -35,6 +38,7 @@
       Collection<String> images) {
     this.machine = machine;
     this.block = block;
+    this.zone = zone;
     this.type = type;
     this.spot = spot;
     this.dearness = dearness;
@@ -44,12 +48,16 @@
   }
 
   boolean takes(PlacementNeed need) {
-    return need.allows(type, spot) && need.perTask().fitsInto(free);
+    return need.perTask().fitsInto(free) && allowedFor(need);
+  }
+
+  private boolean allowedFor(PlacementNeed need) {
+    return need.allows(type, spot) && need.allowsZone(zone);
   }
 
   /** How many such tasks fit. */
   int countOf(PlacementNeed need) {
-    return need.allows(type, spot) ? need.perTask().countIn(free) : 0;
+    return allowedFor(need) ? need.perTask().countIn(free) : 0;
   }
 
   void take(PlacementNeed need) {
@@ -92,9 +100,13 @@
     return block;
   }
 
+  ZoneId zone() {
+    return zone;
+  }
+
   /** The same room, to be taken from in a trial. */
   Room copy() {
-    Room copy = new Room(machine, block, type, spot, dearness, size, free, known);
+    Room copy = new Room(machine, block, zone, type, spot, dearness, size, free, known);
     copy.coming.addAll(coming);
     return copy;
   }
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -24,7 +24,7 @@
     IDLE_RETURN_S("idle_return_s", 20, 0, 3600, "how long a machine stays idle before its return"),
     MINIMUM_HELD_S("minimum_held_s", 60, 0, 3600, "a machine younger than this is not returned"),
     REFUSED_PAUSE_S("refused_pause_s", 10, 1, 600, "pause after the cloud refused a rental"),
-    BLOCK_MACHINES("block_machines", 64, 1, 1000, "most machines of one block"),
+    BLOCK_MACHINES("block_machines", 24, 1, 1000, "most machines of one block"),
     PEER_SILENT_S("peer_silent_s", 4, 1, 60, "a controller silent for this long loses its blocks"),
     RETRY_AFTER_S("retry_after_s", 2, 1, 30, "Retry-After of a submission that can't be taken"),
     FAULTY_AFTER("faulty_after", 3, 1, 100, "failures in a row that take a machine out of use"),
--- a/src/main/java/org/mulleinshift/transport/RateBudget.java
+++ b/src/main/java/org/mulleinshift/transport/RateBudget.java
@@ -5,7 +5,7 @@
 /** A share of an outside system's rate, with one second's worth of burst. */
 public final class RateBudget {
   private final EventLoop loop;
-  private final double burst;
+  private double burst;
   private double perSecond;
   private double tokens;
   private SteadyTime filledAt;
@@ -18,10 +18,21 @@
     this.filledAt = loop.now();
   }
 
-  /** Takes from the budget if that leaves the reserve untouched. */
+  /** From now on the share is another one. */
+  public void rate(double next) {
+    refill();
+    perSecond = next;
+    burst = Math.max(1, next);
+    tokens = Math.min(burst, tokens);
+  }
+
+  /**
+   * Takes from the budget if that leaves the reserve untouched. What is more than the budget ever
+   * holds is let through when it is full, and borrows: else it would wait for ever.
+   */
   public boolean take(double amount, double reserve) {
     refill();
-    if (tokens < amount + reserve) {
+    if (tokens < Math.min(amount + reserve, burst)) {
       return false;
     }
     tokens -= amount;
