A cancelled job ends as cancelled; jobs accepted while a leader loads are kept

Cause: the end of a cancelled job whose tasks all completed before they could be stopped was stored as done, since the state CANCELLING was left before the end was written. The cancellation is now a fact of its own. A leader that was loading dropped news of jobs accepted after its reading: such a job waited for the next leader. News now wait until it leads. Ruled out for went_back: a late transaction (each demands the active key's version).

--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -53,13 +53,14 @@
   private int failures;
   private double runSecondsTotal;
   private int runCount;
-  private boolean cancelledWhileEnding;
+  private boolean cancelled;
 
   public Job(JobRecord record) {
     this.spec = record.spec();
     this.acceptedMillis = record.acceptedMillis();
     this.version = record.version();
-    this.state = record.cancelled() ? State.CANCELLING : State.ACTIVE;
+    this.cancelled = record.cancelled();
+    this.state = cancelled ? State.CANCELLING : State.ACTIVE;
   }
 
   /** The only place where a job's state changes. */
@@ -73,12 +74,13 @@
   /** Takes over what the store says of the job, cancellations above all. */
   public void update(JobRecord record) {
     version = record.version();
-    if (record.cancelled() && state == State.ACTIVE) {
-      moveTo(State.CANCELLING);
-    }
-    if (record.cancelled() && state == State.ENDING && done.cardinality() == spec.tasks()) {
-      // The cancellation won against our unstored end: it is what the user was told.
-      cancelledWhileEnding = true;
+    if (record.cancelled()) {
+      // Stored, so the user was told or will be: the end is cancelled even if all tasks complete
+      // before they could be stopped, or our own end was about to be stored.
+      cancelled = true;
+      if (state == State.ACTIVE) {
+        moveTo(State.CANCELLING);
+      }
     }
   }
 
@@ -223,13 +225,7 @@
   }
 
   public JobPhase endPhase() {
-    return complete() && !cancelledWhileEnding && !isCancelled()
-        ? JobPhase.DONE
-        : JobPhase.CANCELLED;
-  }
-
-  private boolean isCancelled() {
-    return state == State.CANCELLING;
+    return cancelled ? JobPhase.CANCELLED : JobPhase.DONE;
   }
 
   public JobSpec spec() {
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -105,6 +105,7 @@
   private final Preemption preemption;
   private final BlockSharing sharing;
   private final SteadyTime startedAt;
+  private final List<JobRecord> early = new ArrayList<>();
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
   private SteadyTime lastCycle;
@@ -244,7 +245,9 @@
     fleet.load(rentals.items(), journal);
     moveTo(State.LEADING);
     onControlChange();
-    jobs.values().forEach(this::settle);
+    early.forEach(this::onJob);
+    early.clear();
+    List.copyOf(jobs.values()).forEach(this::settle);
     upkeep();
     sendDigest();
     fleet.start();
@@ -277,6 +280,11 @@
 
   /** A change of an active job in the store, as the watch brings it. */
   void onJob(JobRecord record) {
+    if (state == State.LOADING) {
+      // What is accepted while a new leader loads may be in no page that it read: it waits.
+      early.add(record);
+      return;
+    }
     if (state != State.LEADING || record.version().compareTo(loadedAt) <= 0) {
       return;
     }
