Preempt when pressing, claim guarantees, rent large shortages at once, spare scarce types

(2) At the start the first walk rented 15 machines for the first few jobs and then waited a boot time while 350 were missing. Now: jobs with a deadline and no start aim preempt only within preempt_slack_s of their last start; a guaranteed job below its team's guarantee may stop unguaranteed work of other teams beyond theirs; a shortage of more than resize_at_once of the fleet needs no spacing; when a type is not to be had, the walk runs again with other tasks kept away from it.

--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -40,6 +40,8 @@
   /** Tasks whose progress shares a key; keeps values far below the store's limit. */
   public static final int CHUNK = 500;
 
+  private static final double NO_DEADLINE_SECONDS = 86_400;
+
   private final JobSpec spec;
   private final long acceptedMillis;
   private Revision version;
@@ -232,6 +234,11 @@
     return spec;
   }
 
+  /** When it should be complete, by the time of day; far off for a job without a deadline. */
+  public long dueMillis() {
+    return acceptedMillis + (long) (1000 * spec.deadlineSeconds().orElse(NO_DEADLINE_SECONDS));
+  }
+
   public long acceptedMillis() {
     return acceptedMillis;
   }
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -235,34 +236,91 @@
     }
   }
 
-  private void walk() {
+  /** What a walk found: the shortage, the machines that it used, and the fleet's processors. */
+  private record Plan(Walk.Result result, double fleetCpus) {}
+
+  private Plan plan(List<Walk.Waiting> waiting, double horizon) {
     List<Room> rooms = new ArrayList<>();
     List<Walk.Release> releases = new ArrayList<>();
     Map<MachineId, Room> byMachine = new HashMap<>();
-    double horizon = horizon();
     collectMachines(rooms, releases, byMachine, horizon);
     collectRentals(rooms, releases, horizon);
+    double cpus = rooms.stream().mapToDouble(room -> room.size().cpus()).sum();
     collectRunning(byMachine, releases, horizon);
+    int steps = around.tunables().count(Tunables.Key.WALK_STEPS);
+    return new Plan(Walk.run(rooms, releases, waiting, horizon, steps), cpus);
+  }
+
+  private void walk() {
+    double horizon = horizon();
     List<Walk.Waiting> waiting = waiting();
     int demand = waiting.stream().mapToInt(Walk.Waiting::count).sum();
-    Walk.Result result =
-        Walk.run(
-            rooms, releases, waiting, horizon, around.tunables().count(Tunables.Key.WALK_STEPS));
+    Plan plan = plan(waiting, horizon);
+    Set<MachineTypeId> scarce = scarceTypes(plan.result().shortage());
+    if (!scarce.isEmpty()) {
+      // Exception to the paper: what only fits a type that is not to be had gets that type's room,
+      // and other tasks are rented for elsewhere.
+      plan = plan(awayFrom(scarce), horizon);
+    }
+    List<Walk.Waiting> shortage = plan.result().shortage();
     LOG.debug(
-        "walk: {} machines, {} waiting, {} short",
-        byMachine.size(),
+        "walk: {} processors, {} waiting, {} short, scarce {}",
+        plan.fleetCpus(),
         demand,
-        result.shortage().stream().mapToInt(Walk.Waiting::count).sum());
-    boolean spaced = lastResize.isEmpty() || loop.now().secondsSince(lastResize.get()) >= horizon;
-    if (!result.shortage().isEmpty() && spaced) {
-      rentFor(result.shortage());
+        shortage.stream().mapToInt(Walk.Waiting::count).sum(),
+        scarce);
+    if (!shortage.isEmpty() && resizeAllowed(plan, horizon)) {
+      rentFor(shortage);
     }
     if (demand > 0) {
       reopen();
     } else {
       consolidate();
     }
-    drain(result.used());
+    drain(plan.result().used());
+  }
+
+  /**
+   * Resizes are a boot time apart. Exception to the paper: a shortage that is large beside the
+   * fleet cannot be an error of the walk, and at a start or in a burst each boot time counts.
+   */
+  private boolean resizeAllowed(Plan plan, double horizon) {
+    double missing =
+        plan.result().shortage().stream()
+            .mapToDouble(group -> group.count() * group.need().perTask().cpus())
+            .sum();
+    boolean large =
+        missing > around.tunables().number(Tunables.Key.RESIZE_AT_ONCE) * plan.fleetCpus();
+    return large || lastResize.isEmpty() || loop.now().secondsSince(lastResize.get()) >= horizon;
+  }
+
+  /** The types that tasks wait for although the cloud has no more of them. */
+  private Set<MachineTypeId> scarceTypes(List<Walk.Waiting> shortage) {
+    Set<MachineTypeId> scarce = new HashSet<>();
+    for (Walk.Waiting group : shortage) {
+      if (bestOffer(group.need(), group.count(), Map.of()).isEmpty()) {
+        for (MachineType type : around.catalog().types().values()) {
+          if (group.need().perTask().fitsInto(type.size())
+              && (group.need().types().isEmpty() || group.need().types().contains(type.id()))) {
+            scarce.add(type.id());
+          }
+        }
+      }
+    }
+    return scarce;
+  }
+
+  private List<Walk.Waiting> awayFrom(Set<MachineTypeId> scarce) {
+    List<MachineTypeId> others =
+        around.catalog().types().keySet().stream().filter(id -> !scarce.contains(id)).toList();
+    List<Walk.Waiting> groups = new ArrayList<>();
+    for (Walk.Waiting group : waiting()) {
+      PlacementNeed elsewhere = group.need().onlyOn(others);
+      boolean canMove =
+          !elsewhere.types().isEmpty() && bestOffer(elsewhere, group.count(), Map.of()).isPresent();
+      groups.add(canMove ? group.with(elsewhere) : group);
+    }
+    return groups;
   }
 
   private double horizon() {
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -68,6 +68,7 @@
   private static final Duration RESEND = Duration.ofMillis(700);
   private static final int ATTEMPT_BITS = 20;
   private static final int CYCLE_SHARE = 4;
+  private static final double GUARANTEE_PATIENCE = 0.3;
 
   /** States of a term. */
   enum State {
@@ -103,6 +104,7 @@
   private final Fleet fleet;
   private final Headroom headroom;
   private final Preemption preemption;
+  private final Optional<Double> guaranteeWithin;
   private final BlockSharing sharing;
   private final SteadyTime startedAt;
   private final List<JobRecord> early = new ArrayList<>();
@@ -134,7 +136,15 @@
             around.settings().cluster().objectives(),
             around.tunables().number(Tunables.Key.HEADROOM_JOBS),
             around.tunables().seconds(Tunables.Key.HEADROOM_LASTS_S));
-    this.preemption = new Preemption(around.tunables().number(Tunables.Key.PREEMPT_RAN_S));
+    this.preemption =
+        new Preemption(
+            around.tunables().number(Tunables.Key.PREEMPT_RAN_S),
+            around.tunables().number(Tunables.Key.PREEMPT_SLACK_S));
+    this.guaranteeWithin =
+        around.settings().cluster().objectives().stream()
+            .filter(objective -> objective.kind().equals("guarantee"))
+            .map(PlatformSettings.Objective::withinSeconds)
+            .findFirst();
     this.fleet = new Fleet(this, around, cloud, term);
     this.sharing =
         new BlockSharing(around.self(), zonesOf(around.self(), around.settings()), loop.now());
@@ -682,15 +692,91 @@
 
   private void preempt(List<Job> order, Map<TeamId, Resources> inUse) {
     for (Job job : order) {
-      if (!Preemption.mayPreempt(job) || job.waitingCount() == 0) {
+      if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0) {
         continue;
       }
-      Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
-      int wanted = job.waiting(withinLimit(job, used), loop.now()).length;
-      for (Delegation victim :
-          preemption.victims(job, wanted, order, this::canMakeRoom, loop.now())) {
-        requestStop(victim);
+      if (Preemption.mayPreempt(job) && pressing(job)) {
+        stopFor(job, order, inUse, new ByPriority(job));
       }
+      if (claimsGuarantee(job, inUse)) {
+        stopFor(job, order, inUse, new ByGuarantee(job, inUse));
+      }
+    }
+  }
+
+  private void stopFor(
+      Job job, List<Job> order, Map<TeamId, Resources> inUse, Preemption.GivesWay rule) {
+    Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
+    int wanted = job.waiting(withinLimit(job, used), loop.now()).length;
+    preemption
+        .victims(job, wanted, order, rule, this::canMakeRoom, loop.now())
+        .forEach(this::requestStop);
+  }
+
+  private boolean pressing(Job job) {
+    double expected = around.runTimes().expectedSeconds(job);
+    return headroom.protects(job.spec()) || preemption.pressing(job, expected, loop.wallMillis());
+  }
+
+  /** The job lies within its team's guarantee, the team has less than that, and time runs out. */
+  private boolean claimsGuarantee(Job job, Map<TeamId, Resources> inUse) {
+    Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
+    double waited = (loop.wallMillis() - job.acceptedMillis()) / 1000.0;
+    return guaranteeWithin.filter(within -> waited >= within * GUARANTEE_PATIENCE).isPresent()
+        && ranking().guaranteed(job)
+        && used.plus(job.spec().perTask()).cpus() <= guaranteeOf(job) + 1e-6;
+  }
+
+  private double guaranteeOf(Job job) {
+    PlatformSettings.Team team = teams.get(job.spec().team().value());
+    return team == null ? 0 : team.cpus();
+  }
+
+  /** Only work of strictly lower priority. */
+  private record ByPriority(Job job) implements Preemption.GivesWay {
+    @Override
+    public boolean mayStop(Job other) {
+      return job.spec().priority().above(other.spec().priority());
+    }
+
+    @Override
+    public void stopped(Job other) {
+      LOG.debug("a task of {} gives way to {}", other.spec().id(), job.spec().id());
+    }
+  }
+
+  /** Only work that another team runs beyond its own guarantee, and only down to that. */
+  private final class ByGuarantee implements Preemption.GivesWay {
+    private final Job job;
+    private final Map<TeamId, Double> excess = new HashMap<>();
+
+    ByGuarantee(Job job, Map<TeamId, Resources> inUse) {
+      this.job = job;
+      inUse.forEach(
+          (team, used) -> {
+            PlatformSettings.Team settings = teams.get(team.value());
+            excess.put(team, used.cpus() - (settings == null ? 0 : settings.cpus()));
+          });
+      // What is being stopped already no longer counts.
+      for (Job other : jobs.values()) {
+        for (Delegation delegation : other.delegations()) {
+          if (delegation.stopRequested()) {
+            stopped(other);
+          }
+        }
+      }
+    }
+
+    @Override
+    public boolean mayStop(Job other) {
+      return !other.spec().team().equals(job.spec().team())
+          && !ranking().guaranteed(other)
+          && excess.getOrDefault(other.spec().team(), 0.0) >= other.spec().perTask().cpus();
+    }
+
+    @Override
+    public void stopped(Job other) {
+      excess.merge(other.spec().team(), -other.spec().perTask().cpus(), Double::sum);
     }
   }
 
--- a/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
+++ b/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
@@ -23,6 +23,13 @@
         spec.spotAllowed());
   }
 
+  /** The same on some types only; none are left if it allows none of them. */
+  PlacementNeed onlyOn(List<MachineTypeId> some) {
+    List<MachineTypeId> left =
+        some.stream().filter(type -> types.isEmpty() || types.contains(type)).toList();
+    return new PlacementNeed(perTask, image, left, zone, spotAllowed);
+  }
+
   boolean allowsZone(ZoneId candidate) {
     return zone.isEmpty() || zone.get().equals(candidate);
   }
--- a/src/main/java/org/mulleinshift/coordination/Preemption.java
+++ b/src/main/java/org/mulleinshift/coordination/Preemption.java
@@ -18,22 +18,45 @@
 final class Preemption {
   private static final int MOST_ROOM = 2;
 
-  private record Victim(Delegation delegation, double ranSeconds, int makesRoomFor) {}
+  private record Victim(Job job, Delegation delegation, double ranSeconds, int makesRoomFor) {}
 
   private final double mostSeconds;
+  private final double slackSeconds;
 
-  Preemption(double mostSeconds) {
+  Preemption(double mostSeconds, double slackSeconds) {
     this.mostSeconds = mostSeconds;
+    this.slackSeconds = slackSeconds;
+  }
+
+  /** What decides whether work may be stopped for a job, and keeps count of what was. */
+  interface GivesWay {
+    boolean mayStop(Job other);
+
+    void stopped(Job other);
+  }
+
+  /**
+   * Whether the job is so near the last moment for its start that work should be lost for it. On a
+   * large fleet tasks end all the time, and most jobs get their room from those.
+   */
+  boolean pressing(Job job, double expectedSeconds, long nowMillis) {
+    return job.spec().deadlineSeconds().isEmpty()
+        || job.dueMillis() - nowMillis - 1000 * expectedSeconds <= 1000 * slackSeconds;
   }
 
   /** Tasks whose stop makes room for so many of the job's tasks. */
   List<Delegation> victims(
-      Job job, int wanted, List<Job> jobs, BiPredicate<Job, Delegation> usable, SteadyTime now) {
+      Job job,
+      int wanted,
+      List<Job> jobs,
+      GivesWay rule,
+      BiPredicate<Job, Delegation> usable,
+      SteadyTime now) {
     PlacementNeed need = PlacementNeed.of(job.spec());
     List<Victim> candidates = new ArrayList<>();
     int missing = wanted;
     for (Job other : jobs) {
-      if (!job.spec().priority().above(other.spec().priority())) {
+      if (!rule.mayStop(other)) {
         continue;
       }
       int room = need.perTask().countIn(other.spec().perTask());
@@ -49,7 +72,7 @@
         double ran = delegation.runningSince().map(now::secondsSince).orElse(0.0);
         // A large task that gives way to a few small ones loses more than they win.
         if (ran <= mostSeconds && room <= MOST_ROOM) {
-          candidates.add(new Victim(delegation, ran, room));
+          candidates.add(new Victim(other, delegation, ran, room));
         }
       }
     }
@@ -59,6 +82,10 @@
       if (missing <= 0) {
         break;
       }
+      if (!rule.mayStop(victim.job())) {
+        continue;
+      }
+      rule.stopped(victim.job());
       chosen.add(victim.delegation());
       missing -= victim.makesRoomFor();
     }
--- a/src/main/java/org/mulleinshift/coordination/Ranking.java
+++ b/src/main/java/org/mulleinshift/coordination/Ranking.java
@@ -44,22 +44,17 @@
     Map<JobId, Boolean> late = new HashMap<>();
     for (Job job : order) {
       long expected = (long) (runTimes.expectedSeconds(job) * 1000);
-      late.put(job.spec().id(), dueMillis(job) < nowMillis + expected);
+      late.put(job.spec().id(), job.dueMillis() < nowMillis + expected);
     }
     order.sort(
         Comparator.<Job>comparingInt(job -> job.spec().priority().ordinal())
             .thenComparing(job -> ranking.guaranteed(job) ? 0 : 1)
             .thenComparing(job -> late.get(job.spec().id()) ? 1 : 0)
-            .thenComparingLong(Ranking::dueMillis));
+            .thenComparingLong(Job::dueMillis));
     order.forEach(job -> ranking.ranks.put(job.spec().id(), ranking.ranks.size()));
     return ranking;
   }
 
-  private static long dueMillis(Job job) {
-    double due = job.spec().deadlineSeconds().orElse(86_400);
-    return job.acceptedMillis() + (long) (due * 1000);
-  }
-
   /** Most urgent first. */
   List<Job> order() {
     return order;
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -104,6 +104,10 @@
     return zone;
   }
 
+  Resources size() {
+    return size;
+  }
+
   /** The same room, to be taken from in a trial. */
   Room copy() {
     Room copy = new Room(machine, block, zone, type, spot, dearness, size, free, known);
--- a/src/main/java/org/mulleinshift/coordination/Walk.java
+++ b/src/main/java/org/mulleinshift/coordination/Walk.java
@@ -39,6 +39,10 @@
       return need;
     }
 
+    Waiting with(PlacementNeed other) {
+      return new Waiting(other, runSeconds, count);
+    }
+
     int count() {
       return count;
     }
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -43,6 +43,18 @@
         0,
         86_400,
         "a task that ran longer does not give way to a more urgent one"),
+    PREEMPT_SLACK_S(
+        "preempt_slack_s",
+        10,
+        0,
+        86_400,
+        "work gives way to a more urgent job with a deadline once it must start within this"),
+    RESIZE_AT_ONCE(
+        "resize_at_once",
+        0.25,
+        0.01,
+        100,
+        "a shortage of more than this share of the fleet is rented without waiting"),
     SPARE_S(
         "spare_s", 6, 0, 3600, "how long the fleet could do without a machine before it drains"),
     HTTP_THREADS("http_threads", 16, 2, 256, "threads that read requests and write answers");
