Tasks wait at holders for room that frees soon; attempts count a task's own tries

Causes: (1) a finished task's room stood idle until its end was reported, a delegation stored and sent: 1 to 2 s of each 20 to 50 s. Now: the leader delegates for room that should be free within ahead_s (1 s, less for classes with a start aim), the holder starts the task when the room is there; attempts are numbered by a task's own tries within a term, so equal ones share a group; a block's size is capped by the value limit; work is given out before anything is stopped for what still waits; preempt_slack_s 10 to 20.

--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -50,6 +50,7 @@
   private final BitSet delegated = new BitSet();
   private final BitSet unavailable = new BitSet();
   private final NavigableMap<Integer, Delegation> delegations = new TreeMap<>();
+  private final Map<Integer, Integer> tries = new HashMap<>();
   private final Map<Integer, SteadyTime> pausedUntil = new HashMap<>();
   private final Map<ZoneId, Integer> perZone = new HashMap<>();
   private int failures;
@@ -145,7 +146,13 @@
     return (spec.tasks() + CHUNK - 1) / CHUNK;
   }
 
-  public Delegation delegate(int index, BlockId block, ZoneId zone, Attempt attempt) {
+  /**
+   * Entrusts a task to a block. The attempt counts the task's own tries within the term, so that
+   * tasks of a block share it and the stored form stays short however slowly a job gets its room.
+   */
+  public Delegation delegate(int index, BlockId block, ZoneId zone, Attempt firstOfTerm) {
+    int earlier = tries.merge(index, 1, Integer::sum) - 1;
+    Attempt attempt = new Attempt(firstOfTerm.value() + earlier);
     Delegation delegation =
         new Delegation(
             new TaskId(spec.id(), index),
@@ -170,6 +177,7 @@
   public void taskDone(Delegation delegation, double runSeconds) {
     delegation.ended();
     markDone(delegation.task().index());
+    tries.remove(delegation.task().index());
     if (runSeconds > 0) {
       runSecondsTotal += runSeconds;
       runCount++;
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -54,7 +54,7 @@
 final class BlockHolder {
   private static final Logger LOG = LoggerFactory.getLogger(BlockHolder.class);
   private static final Duration ORDERS_DEADLINE = Duration.ofMillis(1200);
-  private static final Duration UNPLACEABLE = Duration.ofMillis(1500);
+  private static final Duration UNPLACEABLE = Duration.ofSeconds(4);
 
   /** A block lies in one zone, and the leader chose it. */
   private static final ZoneId ANY_ZONE = new ZoneId("");
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -52,6 +52,7 @@
   private static final Duration RETRY = Duration.ofSeconds(1);
   private static final Duration LIST_EVERY = Duration.ofSeconds(10);
   private static final int REMEMBERED_DELETED = 5000;
+  private static final int MACHINE_BYTES = 128;
   private static final int DRAINED_OF = 24;
   private static final int MOST_TRIALS = 16;
   private static final BlockId NO_BLOCK = new BlockId("-");
@@ -646,7 +647,11 @@
   }
 
   private LeaderBlock blockWithRoom(ZoneId zone) {
-    int most = around.tunables().count(Tunables.Key.BLOCK_MACHINES);
+    // A block's record must stay below the store's limit for a value.
+    int most =
+        Math.min(
+            around.tunables().count(Tunables.Key.BLOCK_MACHINES),
+            around.settings().cluster().state().valueBytes() / MACHINE_BYTES);
     int number = 0;
     for (LeaderBlock block : leader.blocks().values()) {
       if (block.zone().equals(zone)) {
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -68,6 +69,7 @@
   private static final Duration RESEND = Duration.ofMillis(700);
   private static final int ATTEMPT_BITS = 20;
   private static final int CYCLE_SHARE = 4;
+  private static final double AHEAD_OF_AIM = 0.2;
   private static final double GUARANTEE_PATIENCE = 0.3;
 
   /** States of a term. */
@@ -92,6 +94,9 @@
       BooleanSupplier certain,
       Runnable resign) {}
 
+  /** Tasks that wait at a holder for room. */
+  private record Ahead(BlockId block, PlacementNeed need, int count) {}
+
   private final Surroundings around;
   private final EventLoop loop;
   private final Revision term;
@@ -111,11 +116,12 @@
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
   private SteadyTime lastCycle;
+  private final List<Ahead> ahead = new ArrayList<>();
+  private final double aheadSeconds;
   private Duration cycleTook = Duration.ZERO;
   private Optional<Ranking> ranking = Optional.empty();
   private boolean cyclePlanned;
   private boolean sendPlanned;
-  private long attempts;
 
   Leader(Surroundings around, Fleet.Cloud cloud, Revision term) {
     this.around = around;
@@ -140,6 +146,11 @@
         new Preemption(
             around.tunables().number(Tunables.Key.PREEMPT_RAN_S),
             around.tunables().number(Tunables.Key.PREEMPT_SLACK_S));
+    this.aheadSeconds =
+        around.settings().cluster().objectives().stream()
+            .filter(objective -> objective.kind().equals("wait"))
+            .mapToDouble(objective -> objective.withinSeconds() * AHEAD_OF_AIM)
+            .reduce(around.tunables().number(Tunables.Key.AHEAD_S), Math::min);
     this.guaranteeWithin =
         around.settings().cluster().objectives().stream()
             .filter(objective -> objective.kind().equals("guarantee"))
@@ -633,20 +644,22 @@
     ranking = Optional.empty();
     List<Room> rooms = rooms();
     Map<TeamId, Resources> inUse = teamUse();
-    Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + ++attempts);
+    Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + 1);
     List<Job> order = ranking().order();
     for (Job job : order) {
       if (job.state() == Job.State.ACTIVE && headroom.protects(job.spec())) {
         delegate(job, rooms, inUse, attempt);
       }
     }
-    preempt(order, inUse);
     keepHeadroom(rooms);
     for (Job job : order) {
       if (job.state() == Job.State.ACTIVE && !headroom.protects(job.spec())) {
         delegate(job, rooms, inUse, attempt);
       }
     }
+    // After all room is given: what still waits may ask for more.
+    preempt(order, inUse);
+    delegateAhead(order, rooms, inUse, attempt);
     cycleTook = loop.now().since(began);
   }
 
@@ -685,6 +698,56 @@
     }
   }
 
+  /**
+   * Tasks for the room that should become free until a delegation would have arrived. Storing and
+   * sending it takes longer than a machine should stand idle; the holder starts the task when the
+   * room is there.
+   */
+  private void delegateAhead(
+      List<Job> order, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
+    if (order.stream().noneMatch(job -> mayWaitAtHolder(job) && job.waitingCount() > 0)) {
+      return;
+    }
+    Map<MachineId, Room> byMachine = new HashMap<>();
+    rooms.forEach(room -> byMachine.put(room.machine(), room));
+    for (Job job : order) {
+      freeSoon(job)
+          .forEach(
+              delegation ->
+                  Optional.ofNullable(byMachine.get(delegation.machine().get()))
+                      .ifPresent(room -> room.give(delegation.perTask())));
+    }
+    for (Ahead known : ahead) {
+      List<Room> own = rooms.stream().filter(room -> room.block().equals(known.block())).toList();
+      Placer.fill(known.need(), known.count(), own, (r, n) -> {});
+    }
+    for (Job job : order) {
+      if (mayWaitAtHolder(job)) {
+        delegate(job, rooms, inUse, attempt);
+      }
+    }
+  }
+
+  /** Where the other tasks are decides where a task may go: then it is not sent ahead. */
+  private static boolean mayWaitAtHolder(Job job) {
+    return job.state() == Job.State.ACTIVE
+        && job.spec().kind() == JobKind.ARRAY
+        && !job.spec().oneZone()
+        && !job.spec().spread();
+  }
+
+  /** As many of the job's running tasks as should end soon, the longest running first. */
+  private List<Delegation> freeSoon(Job job) {
+    List<Delegation> running =
+        job.delegations().stream()
+            .filter(delegation -> delegation.state() == Delegation.State.RUNNING)
+            .sorted(Comparator.comparing(delegation -> delegation.runningSince().get()))
+            .toList();
+    double ends =
+        running.size() * aheadSeconds / Math.max(1, around.runTimes().expectedSeconds(job));
+    return running.subList(0, (int) Math.min(running.size(), Math.round(ends)));
+  }
+
   private List<Room> allowedRooms(Job job, List<Room> rooms) {
     boolean anywhere = job.spec().zone().isEmpty() && !job.spec().oneZone() && !job.spec().spread();
     return anywhere ? rooms : rooms.stream().filter(room -> zoneAllowed(job, room.zone())).toList();
@@ -856,6 +919,7 @@
   /** Free room as the holders report it, less what is delegated and not yet placed. */
   private List<Room> rooms() {
     List<Room> rooms = new ArrayList<>();
+    ahead.clear();
     for (LeaderBlock block : blocks.values()) {
       List<Room> found = roomsOf(block);
       Map<JobId, Integer> unplaced = new LinkedHashMap<>();
@@ -863,8 +927,13 @@
         unplaced.merge(delegation.task().job(), 1, Integer::sum);
       }
       unplaced.forEach(
-          (job, count) ->
-              Placer.fill(PlacementNeed.of(jobs.get(job).spec()), count, found, (r, n) -> {}));
+          (job, count) -> {
+            PlacementNeed need = PlacementNeed.of(jobs.get(job).spec());
+            int left = count - Placer.fill(need, count, found, (r, n) -> {});
+            if (left > 0) {
+              ahead.add(new Ahead(block.id(), need, left));
+            }
+          });
       rooms.addAll(found);
     }
     return rooms;
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -45,10 +45,16 @@
         "a task that ran longer does not give way to a more urgent one"),
     PREEMPT_SLACK_S(
         "preempt_slack_s",
-        10,
+        20,
         0,
         86_400,
         "work gives way to a more urgent job with a deadline once it must start within this"),
+    AHEAD_S(
+        "ahead_s",
+        1,
+        0,
+        60,
+        "tasks are sent to holders for room that should become free within this"),
     RESIZE_AT_ONCE(
         "resize_at_once",
         0.25,
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -33,6 +33,7 @@
   private final Map<String, Double> teamLimits = new LinkedHashMap<>();
   private final Map<String, Double> teamGuarantees = new LinkedHashMap<>();
   private final Map<String, Object> tunables = new HashMap<>();
+  private final List<PlatformSettings.Objective> aims = new ArrayList<>();
   private final List<String> zones = new ArrayList<>(List.of("a", "b"));
   private final List<SimNode> nodes = new ArrayList<>();
   private final Map<String, SimUser> users = new HashMap<>();
@@ -44,6 +45,8 @@
   private double reportSeconds = 2;
   private double leaseSeconds = 12;
   private double cancelSeconds = 32;
+  private double stateRate = 200;
+  private double stateWrites = 40;
   private int nodeCount = 3;
   private double end = 120;
 
@@ -96,6 +99,19 @@
         leaseSeconds = Double.parseDouble(fields.getOrDefault("lease", "12"));
         cancelSeconds = Double.parseDouble(fields.getOrDefault("cancel", "32"));
       }
+      case "aim" -> {
+        Map<String, String> fields = fields(words, 2);
+        aims.add(
+            new PlatformSettings.Objective(
+                words[1],
+                java.util.Optional.ofNullable(fields.get("class")),
+                Double.parseDouble(fields.get("within"))));
+      }
+      case "state" -> {
+        Map<String, String> fields = fields(words, 1);
+        stateRate = Double.parseDouble(fields.getOrDefault("rps", "200"));
+        stateWrites = Double.parseDouble(fields.getOrDefault("writes", "40"));
+      }
       case "set" -> tunables.put(words[1], Double.parseDouble(words[2]));
       case "run" -> end = Double.parseDouble(words[1]);
       case "expect" -> expectations.add(words);
@@ -177,10 +193,10 @@
             zones,
             Duration.ofMillis(5),
             teams,
-            List.of(),
+            aims,
             new PlatformSettings.Workers(
                 millis(reportSeconds), millis(leaseSeconds), millis(cancelSeconds)),
-            new PlatformSettings.State(200, 40, 8192, 12),
+            new PlatformSettings.State(stateRate, stateWrites, 8192, 12),
             new PlatformSettings.Cloud(8, Duration.ofSeconds(4))),
         new PlatformSettings.Limits(1, 200, 500));
   }
@@ -393,6 +409,16 @@
           failures.add(line + ": " + rules.runningTasks(words[2]));
         }
       }
+      case "holds" -> {
+        long held =
+            state.dump().entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith("c/g/"))
+                .filter(entry -> entry.getValue().path("holder").asText().equals(words[2]))
+                .count();
+        if (held < limit) {
+          failures.add(line + ": " + held);
+        }
+      }
       case "writes" -> atMost(line, state.writes(), Double.parseDouble(words[2]));
       case "keys" ->
           atMost(
