Leader in parts: quota, stop rules, zone rules, free room, assignments; leases checked at start

Moved, behaviour unchanged: Quota, StopRules, ZoneRules, FreeRoom, AssignmentWriter. New: settings whose leases do not fit into cancel_s end the program with one line (Leases.check; before, the block lease was silently set to 2 s, which breaks ran_cancelled), and the event loop logs its longest steps once a minute (HdrHistogram).

--- a/src/main/java/org/mulleinshift/Main.java
+++ b/src/main/java/org/mulleinshift/Main.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.atomic.AtomicReference;
 import org.mulleinshift.coordination.Controller;
+import org.mulleinshift.settings.Leases;
 import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.settings.PlatformSettingsReader;
 import org.mulleinshift.settings.SettingsException;
@@ -74,6 +75,7 @@
     try {
       settings = PlatformSettingsReader.read(config);
       tunables = tunablesFile == null ? Tunables.standard() : TunablesReader.read(tunablesFile);
+      Leases.check(config.toString(), settings.cluster().workers(), tunables);
     } catch (SettingsException e) {
       System.err.println(e.getMessage());
       return BAD_SETTINGS;
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/AssignmentWriter.java
@@ -0,0 +1,82 @@
+package org.mulleinshift.coordination;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.mulleinshift.bookkeeping.Delegation;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobSpec;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.TaskId;
+import org.mulleinshift.protocol.peer.AssignedJob;
+import org.mulleinshift.protocol.peer.AssignedTask;
+import org.mulleinshift.protocol.peer.Assignment;
+import org.mulleinshift.protocol.peer.RemovedTask;
+import org.mulleinshift.transport.EventLoop;
+
+/** Writes what the holder of a block is to hear. */
+final class AssignmentWriter {
+  private final Leader leader;
+  private final EventLoop loop;
+  private final Revision term;
+
+  AssignmentWriter(Leader leader, EventLoop loop, Revision term) {
+    this.leader = leader;
+    this.loop = loop;
+    this.term = term;
+  }
+
+  /** Marks the block's changes as sent. */
+  Assignment of(LeaderBlock block) {
+    Revision grant = block.grant().get().revision();
+    long base = block.base();
+    Map<JobId, List<AssignedTask>> byJob = new LinkedHashMap<>();
+    List<RemovedTask> removed = new ArrayList<>();
+    for (TaskId task : block.changesSince(base)) {
+      Delegation delegation = block.told(task).orElse(null);
+      if (delegation == null) {
+        removed.add(new RemovedTask(task.job().value(), task.index()));
+      } else {
+        byJob
+            .computeIfAbsent(task.job(), key -> new ArrayList<>())
+            .add(
+                new AssignedTask(
+                    task.index(),
+                    delegation.attempt().value(),
+                    delegation.storedAt().compareTo(grant) > 0,
+                    delegation.stopRequested()));
+      }
+    }
+    List<AssignedJob> assigned = new ArrayList<>();
+    byJob.forEach((id, tasks) -> assigned.add(assignedJob(leader.jobs().get(id).spec(), tasks)));
+    List<String> closed = new ArrayList<>();
+    block.machines().keySet().stream()
+        .filter(machine -> leader.closed(machine))
+        .forEach(machine -> closed.add(machine.value()));
+    return new Assignment(
+        term.value(),
+        block.id().value(),
+        grant.value(),
+        base,
+        block.send(loop.now()),
+        removed,
+        assigned,
+        closed);
+  }
+
+  private AssignedJob assignedJob(JobSpec spec, List<AssignedTask> tasks) {
+    PlacementNeed need = PlacementNeed.of(spec);
+    return new AssignedJob(
+        spec.id().value(),
+        need.perTask().cpus(),
+        need.perTask().gpus(),
+        need.perTask().memoryGb(),
+        need.image(),
+        spec.checkpointSeconds() > 0 ? spec.saveSeconds() : 0,
+        need.types().stream().map(type -> type.value()).toList(),
+        need.spotAllowed(),
+        leader.ranking().rank(spec.id()),
+        tasks);
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -28,6 +28,7 @@
 import org.mulleinshift.protocol.peer.PeerFrame;
 import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
+import org.mulleinshift.settings.Leases;
 import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.settings.Tunables;
 import org.mulleinshift.transport.EventLoop;
@@ -102,7 +103,7 @@
     Duration spacing = watchSpacing(cluster);
     this.control = new PrefixView(loop, store, Keys.CONTROL, spacing, new ControlListener());
     this.jobs = new PrefixView(loop, store, Keys.ACTIVE, spacing, new JobListener());
-    Duration blockLease = blockLease(cluster.workers(), tunables);
+    Duration blockLease = Leases.block(cluster.workers(), tunables);
     this.session =
         new Session(
             loop,
@@ -148,20 +149,6 @@
             new RateBudget(loop, cluster.cloudLimits().requestsPerSecond() * 0.6));
   }
 
-  /**
-   * The longest block lease with which a cancelled job's tasks are surely gone in time: a holder
-   * that hears nothing acts until its lease is over, and its workers run on for a worker lease.
-   */
-  public static Duration blockLease(PlatformSettings.Workers workers, Tunables tunables) {
-    Duration left =
-        workers
-            .cancel()
-            .minus(workers.lease())
-            .minus(tunables.seconds(Tunables.Key.CANCEL_MARGIN_S));
-    Duration least = Duration.ofSeconds(2);
-    return left.compareTo(least) < 0 ? least : left;
-  }
-
   /** The leader writes most: all progress of jobs and machines. The others accept and cancel. */
   private double writeRate(boolean leading) {
     int others = Math.max(1, settings.cluster().size() - 1);
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -446,14 +446,14 @@
 
   /** Waiting tasks in order, without those that their team's limit holds back. */
   private List<Walk.Waiting> waiting() {
-    Map<TeamId, Resources> use = new HashMap<>(leader.teamUse());
+    Map<TeamId, Resources> use = Quota.use(leader.jobs().values());
     List<Walk.Waiting> groups = new ArrayList<>();
     for (Job job : leader.ranking().order()) {
       if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0) {
         continue;
       }
       Resources used = use.getOrDefault(job.spec().team(), Resources.ZERO);
-      int count = Math.min(job.waitingCount(), leader.withinLimit(job, used));
+      int count = Math.min(job.waitingCount(), leader.quota().withinLimit(job, used));
       if (count > 0) {
         use.put(job.spec().team(), used.plus(job.spec().perTask().times(count)));
         groups.add(
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -5,7 +5,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,7 +14,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.mulleinshift.bookkeeping.ControlView;
-import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.bookkeeping.JobRecord;
@@ -27,26 +25,18 @@
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.JobKind;
-import org.mulleinshift.protocol.JobSpec;
 import org.mulleinshift.protocol.MachineId;
-import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.NodeId;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.protocol.StateCodec.Write;
-import org.mulleinshift.protocol.TaskId;
 import org.mulleinshift.protocol.TeamId;
 import org.mulleinshift.protocol.ZoneId;
-import org.mulleinshift.protocol.peer.AssignedJob;
-import org.mulleinshift.protocol.peer.AssignedTask;
-import org.mulleinshift.protocol.peer.Assignment;
 import org.mulleinshift.protocol.peer.BlockReport;
 import org.mulleinshift.protocol.peer.JobCount;
 import org.mulleinshift.protocol.peer.JobDigest;
-import org.mulleinshift.protocol.peer.MachineReport;
-import org.mulleinshift.protocol.peer.RemovedTask;
 import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
 import org.mulleinshift.protocol.peer.TaskReport;
@@ -94,16 +84,15 @@
       BooleanSupplier certain,
       Runnable resign) {}
 
-  /** Tasks that wait at a holder for room. */
-  private record Ahead(BlockId block, PlacementNeed need, int count) {}
-
   private final Surroundings around;
   private final EventLoop loop;
   private final Revision term;
   private final LeaderJournal journal;
   private final Map<JobId, Job> jobs = new TreeMap<>();
   private final Map<BlockId, LeaderBlock> blocks = new TreeMap<>();
-  private final Map<String, PlatformSettings.Team> teams = new HashMap<>();
+  private final Quota quota;
+  private final FreeRoom freeRoom;
+  private final AssignmentWriter assignments;
   private final Map<MachineId, Integer> failuresInRow = new HashMap<>();
   private final Occupancy occupancy = new Occupancy();
   private final Fleet fleet;
@@ -116,7 +105,6 @@
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
   private SteadyTime lastCycle;
-  private final List<Ahead> ahead = new ArrayList<>();
   private final double aheadSeconds;
   private Duration cycleTook = Duration.ZERO;
   private Optional<Ranking> ranking = Optional.empty();
@@ -136,7 +124,9 @@
             term,
             around.settings().cluster().state().txnOps(),
             around.resign());
-    around.settings().cluster().teams().forEach(team -> teams.put(team.name(), team));
+    this.quota = new Quota(around.settings().cluster().teams());
+    this.freeRoom = new FreeRoom(this, around.catalog());
+    this.assignments = new AssignmentWriter(this, loop, term);
     this.headroom =
         new Headroom(
             around.settings().cluster().objectives(),
@@ -438,6 +428,15 @@
     changed(job, delegation.task().index());
   }
 
+  Quota quota() {
+    return quota;
+  }
+
+  /** Takes no new task. */
+  boolean closed(MachineId machine) {
+    return fleet.closed(machine) || faulty(machine);
+  }
+
   boolean faulty(MachineId machine) {
     return failuresInRow.getOrDefault(machine, 0)
         >= around.tunables().count(Tunables.Key.FAULTY_AFTER);
@@ -507,7 +506,7 @@
           block.id(),
           block.grant().map(Object::toString).orElse("not held"),
           loop.now().since(block.reportedAt()).toMillis(),
-          roomsOf(block).size(),
+          freeRoom.roomsOf(block).size(),
           block.machines().size(),
           block.told().size() + " tasks");
     }
@@ -558,61 +557,9 @@
     }
     for (LeaderBlock block : blocks.values()) {
       if (block.grant().isPresent() && (block.lost(loop.now(), RESEND) || block.dirty())) {
-        around.send().accept(block.grant().get().holder(), assignmentOf(block));
-      }
-    }
-  }
-
-  private Assignment assignmentOf(LeaderBlock block) {
-    Revision grant = block.grant().get().revision();
-    long base = block.base();
-    Map<JobId, List<AssignedTask>> byJob = new LinkedHashMap<>();
-    List<RemovedTask> removed = new ArrayList<>();
-    for (TaskId task : block.changesSince(base)) {
-      Delegation delegation = block.told(task).orElse(null);
-      if (delegation == null) {
-        removed.add(new RemovedTask(task.job().value(), task.index()));
-      } else {
-        byJob
-            .computeIfAbsent(task.job(), key -> new ArrayList<>())
-            .add(
-                new AssignedTask(
-                    task.index(),
-                    delegation.attempt().value(),
-                    delegation.storedAt().compareTo(grant) > 0,
-                    delegation.stopRequested()));
+        around.send().accept(block.grant().get().holder(), assignments.of(block));
       }
     }
-    List<AssignedJob> assigned = new ArrayList<>();
-    byJob.forEach((id, tasks) -> assigned.add(assignedJob(jobs.get(id).spec(), tasks)));
-    List<String> closed = new ArrayList<>();
-    block.machines().keySet().stream()
-        .filter(machine -> fleet.closed(machine) || faulty(machine))
-        .forEach(machine -> closed.add(machine.value()));
-    return new Assignment(
-        term.value(),
-        block.id().value(),
-        grant.value(),
-        base,
-        block.send(loop.now()),
-        removed,
-        assigned,
-        closed);
-  }
-
-  private AssignedJob assignedJob(JobSpec spec, List<AssignedTask> tasks) {
-    PlacementNeed need = PlacementNeed.of(spec);
-    return new AssignedJob(
-        spec.id().value(),
-        need.perTask().cpus(),
-        need.perTask().gpus(),
-        need.perTask().memoryGb(),
-        need.image(),
-        spec.checkpointSeconds() > 0 ? spec.saveSeconds() : 0,
-        need.types().stream().map(type -> type.value()).toList(),
-        need.spotAllowed(),
-        ranking().rank(spec.id()),
-        tasks);
   }
 
   void cycleSoon() {
@@ -642,8 +589,8 @@
     SteadyTime began = loop.now();
     lastCycle = began;
     ranking = Optional.empty();
-    List<Room> rooms = rooms();
-    Map<TeamId, Resources> inUse = teamUse();
+    List<Room> rooms = freeRoom.rooms();
+    Map<TeamId, Resources> inUse = Quota.use(jobs.values());
     Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + 1);
     List<Job> order = ranking().order();
     for (Job job : order) {
@@ -666,12 +613,13 @@
   private void delegate(Job job, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
     TeamId team = job.spec().team();
     Resources used = inUse.getOrDefault(team, Resources.ZERO);
-    int allowed = withinLimit(job, used);
+    int allowed = quota.withinLimit(job, used);
     if (allowed == 0 || job.waitingCount() == 0) {
       return;
     }
     PlacementNeed need = PlacementNeed.of(job.spec());
-    if (job.spec().kind() == JobKind.GANG && !gangFits(job, need, rooms, allowed)) {
+    if (job.spec().kind() == JobKind.GANG
+        && !ZoneRules.gangFits(job, need, rooms, allowed, loop.now())) {
       return;
     }
     int[] waiting = job.waiting(allowed, loop.now());
@@ -717,7 +665,7 @@
                   Optional.ofNullable(byMachine.get(delegation.machine().get()))
                       .ifPresent(room -> room.give(delegation.perTask())));
     }
-    for (Ahead known : ahead) {
+    for (FreeRoom.Ahead known : freeRoom.ahead()) {
       List<Room> own = rooms.stream().filter(room -> room.block().equals(known.block())).toList();
       Placer.fill(known.need(), known.count(), own, (r, n) -> {});
     }
@@ -750,7 +698,9 @@
 
   private List<Room> allowedRooms(Job job, List<Room> rooms) {
     boolean anywhere = job.spec().zone().isEmpty() && !job.spec().oneZone() && !job.spec().spread();
-    return anywhere ? rooms : rooms.stream().filter(room -> zoneAllowed(job, room.zone())).toList();
+    return anywhere
+        ? rooms
+        : rooms.stream().filter(room -> ZoneRules.allowed(job, room.zone())).toList();
   }
 
   private void preempt(List<Job> order, Map<TeamId, Resources> inUse) {
@@ -759,10 +709,14 @@
         continue;
       }
       if (Preemption.mayPreempt(job) && pressing(job)) {
-        stopFor(job, order, inUse, new ByPriority(job));
+        stopFor(job, order, inUse, new StopRules.ByPriority(job));
       }
       if (claimsGuarantee(job, inUse)) {
-        stopFor(job, order, inUse, new ByGuarantee(job, inUse));
+        stopFor(
+            job,
+            order,
+            inUse,
+            new StopRules.ByGuarantee(job, ranking(), quota, inUse, jobs.values()));
       }
     }
   }
@@ -770,7 +724,7 @@
   private void stopFor(
       Job job, List<Job> order, Map<TeamId, Resources> inUse, Preemption.GivesWay rule) {
     Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
-    int wanted = job.waiting(withinLimit(job, used), loop.now()).length;
+    int wanted = job.waiting(quota.withinLimit(job, used), loop.now()).length;
     preemption
         .victims(job, wanted, order, rule, this::canMakeRoom, loop.now())
         .forEach(this::requestStop);
@@ -787,60 +741,7 @@
     double waited = (loop.wallMillis() - job.acceptedMillis()) / 1000.0;
     return guaranteeWithin.filter(within -> waited >= within * GUARANTEE_PATIENCE).isPresent()
         && ranking().guaranteed(job)
-        && used.plus(job.spec().perTask()).cpus() <= guaranteeOf(job) + 1e-6;
-  }
-
-  private double guaranteeOf(Job job) {
-    PlatformSettings.Team team = teams.get(job.spec().team().value());
-    return team == null ? 0 : team.cpus();
-  }
-
-  /** Only work of strictly lower priority. */
-  private record ByPriority(Job job) implements Preemption.GivesWay {
-    @Override
-    public boolean mayStop(Job other) {
-      return job.spec().priority().above(other.spec().priority());
-    }
-
-    @Override
-    public void stopped(Job other) {
-      LOG.debug("a task of {} gives way to {}", other.spec().id(), job.spec().id());
-    }
-  }
-
-  /** Only work that another team runs beyond its own guarantee, and only down to that. */
-  private final class ByGuarantee implements Preemption.GivesWay {
-    private final Job job;
-    private final Map<TeamId, Double> excess = new HashMap<>();
-
-    ByGuarantee(Job job, Map<TeamId, Resources> inUse) {
-      this.job = job;
-      inUse.forEach(
-          (team, used) -> {
-            PlatformSettings.Team settings = teams.get(team.value());
-            excess.put(team, used.cpus() - (settings == null ? 0 : settings.cpus()));
-          });
-      // What is being stopped already no longer counts.
-      for (Job other : jobs.values()) {
-        for (Delegation delegation : other.delegations()) {
-          if (delegation.stopRequested()) {
-            stopped(other);
-          }
-        }
-      }
-    }
-
-    @Override
-    public boolean mayStop(Job other) {
-      return !other.spec().team().equals(job.spec().team())
-          && !ranking().guaranteed(other)
-          && excess.getOrDefault(other.spec().team(), 0.0) >= other.spec().perTask().cpus();
-    }
-
-    @Override
-    public void stopped(Job other) {
-      excess.merge(other.spec().team(), -other.spec().perTask().cpus(), Double::sum);
-    }
+        && used.plus(job.spec().perTask()).cpus() <= quota.guaranteed(job.spec().team()) + 1e-6;
   }
 
   private boolean canMakeRoom(Job job, Delegation delegation) {
@@ -849,7 +750,7 @@
         && delegation.state() != Delegation.State.ENDED
         && delegation.told()
         && delegation.machine().isPresent()
-        && zoneAllowed(job, block.zone())
+        && ZoneRules.allowed(job, block.zone())
         && Preemption.onUsableMachine(
             job, delegation.machine().map(machine -> block.machines().get(machine)));
   }
@@ -860,124 +761,12 @@
     }
   }
 
-  /** A gang starts as a whole: none of its tasks is out, and there is room for all of them. */
-  private boolean gangFits(Job job, PlacementNeed need, List<Room> rooms, int allowed) {
-    int tasks = job.spec().tasks() - job.doneCount();
-    if (job.delegatedCount() > 0
-        || allowed < tasks
-        || job.waiting(tasks, loop.now()).length < tasks) {
-      return false;
-    }
-    Map<ZoneId, Integer> perZone = new HashMap<>();
-    for (Room room : rooms) {
-      ZoneId zone = room.zone();
-      if (job.spec().allowsZone(zone)) {
-        perZone.merge(zone, room.countOf(need), Integer::sum);
-      }
-    }
-    if (job.spec().oneZone()) {
-      return perZone.values().stream().anyMatch(fit -> fit >= tasks);
-    }
-    int half = job.spec().spread() ? (job.spec().tasks() + 1) / 2 : tasks;
-    return perZone.values().stream().mapToInt(fit -> Math.min(fit, half)).sum() >= tasks;
-  }
-
-  /** How many more tasks the job's team may have out; what is delegated counts as running. */
-  int withinLimit(Job job, Resources used) {
-    PlatformSettings.Team team = teams.get(job.spec().team().value());
-    if (team == null) {
-      return 0;
-    }
-    double big = 1e12;
-    Resources limit =
-        new Resources(
-            team.cpusMax() > 0 ? team.cpusMax() : big,
-            team.gpusMax() > 0 ? team.gpusMax() : big,
-            big);
-    return job.spec().perTask().countIn(limit.minus(used));
-  }
-
-  Map<TeamId, Resources> teamUse() {
-    Map<TeamId, Resources> use = new HashMap<>();
-    for (Job job : jobs.values()) {
-      use.merge(job.spec().team(), job.delegatedResources(), Resources::plus);
-    }
-    return use;
-  }
-
-  private static boolean zoneAllowed(Job job, ZoneId zone) {
-    if (!job.spec().allowsZone(zone)) {
-      return false;
-    }
-    if (job.spec().oneZone() && !job.perZone().isEmpty() && job.delegatedIn(zone) == 0) {
-      return false;
-    }
-    int half = (job.spec().tasks() + 1) / 2;
-    return !job.spec().spread() || job.delegatedIn(zone) < half;
-  }
-
-  /** Free room as the holders report it, less what is delegated and not yet placed. */
-  private List<Room> rooms() {
-    List<Room> rooms = new ArrayList<>();
-    ahead.clear();
-    for (LeaderBlock block : blocks.values()) {
-      List<Room> found = roomsOf(block);
-      Map<JobId, Integer> unplaced = new LinkedHashMap<>();
-      for (Delegation delegation : occupancy.unplaced(block.id())) {
-        unplaced.merge(delegation.task().job(), 1, Integer::sum);
-      }
-      unplaced.forEach(
-          (job, count) -> {
-            PlacementNeed need = PlacementNeed.of(jobs.get(job).spec());
-            int left = count - Placer.fill(need, count, found, (r, n) -> {});
-            if (left > 0) {
-              ahead.add(new Ahead(block.id(), need, left));
-            }
-          });
-      rooms.addAll(found);
-    }
-    return rooms;
-  }
-
-  private List<Room> roomsOf(LeaderBlock block) {
-    List<Room> found = new ArrayList<>();
-    if (!block.hasReported()) {
-      return found;
-    }
-    for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
-      MachineId id = entry.getKey();
-      MachineRecord record = entry.getValue();
-      MachineType type = around.catalog().type(record.type()).orElse(null);
-      MachineReport report = block.reportOf(id).orElse(null);
-      if (type != null && report != null && record.up() && usable(id, report)) {
-        found.add(
-            new Room(
-                id,
-                block.id(),
-                block.zone(),
-                record.type(),
-                record.spot(),
-                type.dearness(record.spot()),
-                type.size(),
-                type.size().minus(occupancy.used(id)),
-                report.getImages()));
-      }
-    }
-    return found;
-  }
-
-  private boolean usable(MachineId machine, MachineReport report) {
-    return report.getPhase().equals(MachinePhase.CONFIRMED.name())
-        && !report.getRecalled()
-        && report.getSilence().equals(HeldMachine.Silence.HEARD.name())
-        && !fleet.closed(machine)
-        && !faulty(machine);
-  }
-
   /** The order of the current cycle; between cycles it changes little. */
   Ranking ranking() {
     if (ranking.isEmpty()) {
-      ranking = Optional.of(Ranking.of(jobs.values(), teams, around.runTimes(), loop.wallMillis()));
+      ranking =
+          Optional.of(
+              Ranking.of(jobs.values(), quota.teams(), around.runTimes(), loop.wallMillis()));
     }
     return ranking.get();
   }
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Quota.java
@@ -0,0 +1,56 @@
+package org.mulleinshift.coordination;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.protocol.Resources;
+import org.mulleinshift.protocol.TeamId;
+import org.mulleinshift.settings.PlatformSettings;
+
+/**
+ * The teams' limits and guarantees. What is delegated counts as running until its end is stored.
+ */
+final class Quota {
+  private static final double NO_LIMIT = 1e12;
+
+  private final Map<String, PlatformSettings.Team> teams = new HashMap<>();
+
+  Quota(List<PlatformSettings.Team> teams) {
+    teams.forEach(team -> this.teams.put(team.name(), team));
+  }
+
+  Map<String, PlatformSettings.Team> teams() {
+    return teams;
+  }
+
+  /** What each team has out. */
+  static Map<TeamId, Resources> use(Collection<Job> jobs) {
+    Map<TeamId, Resources> use = new HashMap<>();
+    for (Job job : jobs) {
+      use.merge(job.spec().team(), job.delegatedResources(), Resources::plus);
+    }
+    return use;
+  }
+
+  /** How many more of the job's tasks its team may have out. */
+  int withinLimit(Job job, Resources used) {
+    PlatformSettings.Team team = teams.get(job.spec().team().value());
+    if (team == null) {
+      return 0;
+    }
+    Resources limit =
+        new Resources(
+            team.cpusMax() > 0 ? team.cpusMax() : NO_LIMIT,
+            team.gpusMax() > 0 ? team.gpusMax() : NO_LIMIT,
+            NO_LIMIT);
+    return job.spec().perTask().countIn(limit.minus(used));
+  }
+
+  /** The processors that a team is guaranteed. */
+  double guaranteed(TeamId team) {
+    PlatformSettings.Team found = teams.get(team.value());
+    return found == null ? 0 : found.cpus();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/StopRules.java
@@ -0,0 +1,61 @@
+package org.mulleinshift.coordination;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.mulleinshift.bookkeeping.Delegation;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.protocol.Resources;
+import org.mulleinshift.protocol.TeamId;
+
+/** The two cases in which the protocol lets work be stopped to make room. */
+final class StopRules {
+  private StopRules() {}
+
+  /** Only work of strictly lower priority. */
+  record ByPriority(Job job) implements Preemption.GivesWay {
+    @Override
+    public boolean mayStop(Job other) {
+      return job.spec().priority().above(other.spec().priority());
+    }
+
+    @Override
+    public void stopped(Job other) {
+      // Priorities do not change with what was stopped.
+    }
+  }
+
+  /** Only work that another team runs beyond its own guarantee, and only down to that. */
+  static final class ByGuarantee implements Preemption.GivesWay {
+    private final Job job;
+    private final Ranking ranking;
+    private final Map<TeamId, Double> excess = new HashMap<>();
+
+    ByGuarantee(
+        Job job, Ranking ranking, Quota quota, Map<TeamId, Resources> inUse, Collection<Job> jobs) {
+      this.job = job;
+      this.ranking = ranking;
+      inUse.forEach((team, used) -> excess.put(team, used.cpus() - quota.guaranteed(team)));
+      // What is being stopped already no longer counts.
+      for (Job other : jobs) {
+        for (Delegation delegation : other.delegations()) {
+          if (delegation.stopRequested()) {
+            stopped(other);
+          }
+        }
+      }
+    }
+
+    @Override
+    public boolean mayStop(Job other) {
+      return !other.spec().team().equals(job.spec().team())
+          && !ranking.guaranteed(other)
+          && excess.getOrDefault(other.spec().team(), 0.0) >= other.spec().perTask().cpus();
+    }
+
+    @Override
+    public void stopped(Job other) {
+      excess.merge(other.spec().team(), -other.spec().perTask().cpus(), Double::sum);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/ZoneRules.java
@@ -0,0 +1,46 @@
+package org.mulleinshift.coordination;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.protocol.ZoneId;
+import org.mulleinshift.transport.SteadyTime;
+
+/** Where a job's tasks may be together: one zone, spread, and gangs as a whole. */
+final class ZoneRules {
+  private ZoneRules() {}
+
+  /** Whether one more of its tasks may be in the zone, given where the others are. */
+  static boolean allowed(Job job, ZoneId zone) {
+    if (!job.spec().allowsZone(zone)) {
+      return false;
+    }
+    if (job.spec().oneZone() && !job.perZone().isEmpty() && job.delegatedIn(zone) == 0) {
+      return false;
+    }
+    int half = (job.spec().tasks() + 1) / 2;
+    return !job.spec().spread() || job.delegatedIn(zone) < half;
+  }
+
+  /** A gang starts as a whole: none of its tasks is out, and there is room for all of them. */
+  static boolean gangFits(
+      Job job, PlacementNeed need, List<Room> rooms, int allowed, SteadyTime now) {
+    int tasks = job.spec().tasks() - job.doneCount();
+    if (job.delegatedCount() > 0 || allowed < tasks || job.waiting(tasks, now).length < tasks) {
+      return false;
+    }
+    Map<ZoneId, Integer> perZone = new HashMap<>();
+    for (Room room : rooms) {
+      ZoneId zone = room.zone();
+      if (job.spec().allowsZone(zone)) {
+        perZone.merge(zone, room.countOf(need), Integer::sum);
+      }
+    }
+    if (job.spec().oneZone()) {
+      return perZone.values().stream().anyMatch(fit -> fit >= tasks);
+    }
+    int half = job.spec().spread() ? (job.spec().tasks() + 1) / 2 : tasks;
+    return perZone.values().stream().mapToInt(fit -> Math.min(fit, half)).sum() >= tasks;
+  }
+}
--- a/src/main/java/org/mulleinshift/transport/ThreadEventLoop.java
+++ b/src/main/java/org/mulleinshift/transport/ThreadEventLoop.java
@@ -7,16 +7,21 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** An event loop on the calling thread with real clocks. */
 public final class ThreadEventLoop implements EventLoop {
+  private static final long LONGEST_MICROS = 60_000_000;
+  private static final long DESCRIBE_NANOS = 60_000_000_000L;
   private static final Logger LOG = LoggerFactory.getLogger(ThreadEventLoop.class);
 
   private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
   private final PriorityQueue<Pending> timers = new PriorityQueue<>();
   private final SplittableRandom random = new SplittableRandom();
+  private final Histogram turns = new Histogram(LONGEST_MICROS, 2);
+  private long describedAt = System.nanoTime();
   private long sequence;
 
   @Override
@@ -55,7 +60,7 @@
       if (first != null) {
         batch.add(first);
         queue.drainTo(batch, 63);
-        batch.forEach(ThreadEventLoop::runGuarded);
+        batch.forEach(this::runGuarded);
         batch.clear();
       }
     }
@@ -81,12 +86,29 @@
   }
 
   /** One failing step must not end the process: the state stays owned by this thread. */
-  private static void runGuarded(Runnable step) {
+  private void runGuarded(Runnable step) {
+    long began = System.nanoTime();
     try {
       step.run();
     } catch (RuntimeException e) {
       LOG.error("step failed", e);
     }
+    long ended = System.nanoTime();
+    turns.recordValue(Math.min(LONGEST_MICROS, Math.max(0, (ended - began) / 1000)));
+    if (ended - describedAt >= DESCRIBE_NANOS) {
+      describe(ended);
+    }
+  }
+
+  /** A step that takes long endangers renewals, acceptance and the workers' reports. */
+  private void describe(long now) {
+    LOG.info(
+        "{} steps: 99% within {} ms, longest {} ms",
+        turns.getTotalCount(),
+        turns.getValueAtPercentile(99) / 1000.0,
+        turns.getMaxValue() / 1000.0);
+    turns.reset();
+    describedAt = now;
   }
 
   private static final class Pending implements Timer, Comparable<Pending> {
--- a/src/test/java/org/mulleinshift/CommandLineTest.java
+++ b/src/test/java/org/mulleinshift/CommandLineTest.java
@@ -51,6 +51,7 @@
   @CsvSource({
     "'size = 1','size = 0',cluster.size",
     "'lease_s = 12.0','lease_s = nan',cluster.workers.lease_s",
+    "'cancel_s = 32.0','cancel_s = 17.0',cluster.workers.cancel_s",
     "'rps = 8.0','',cluster.cloud.rps",
     "'public_addr = \"127.0.0.1:18470\"','public_addr = \"nowhere\"',public_addr",
     "'label = \"rehearsal\"','label = 7',label",
