--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -273,10 +273,10 @@
     if (!shortage.isEmpty() && resizeAllowed(plan, horizon)) {
       rentFor(shortage);
     }
-    if (shortage.isEmpty()) {
-      consolidate(waiting());
-    } else {
+    if (demand > 0) {
       reopen();
+    } else {
+      consolidate();
     }
     drain(plan.result().used());
   }
@@ -728,18 +728,12 @@
    * The dearest machine whose tasks would fit into the room that the others have left takes no new
    * tasks. Tasks end where they are; nothing is moved.
    */
-  private void consolidate(List<Walk.Waiting> waiting) {
+  private void consolidate() {
     double held = around.tunables().number(Tunables.Key.MINIMUM_HELD_S);
     double patience = around.tunables().number(Tunables.Key.SPARE_S);
     Map<MachineId, Room> rooms = new HashMap<>();
     collectMachines(new ArrayList<>(), new ArrayList<>(), rooms, 0);
     collectRunning(rooms, new ArrayList<>(), 0);
-    // On a large fleet some task always waits for a moment: that alone keeps no machine.
-    for (Walk.Waiting group : waiting) {
-      if (Placer.fill(group.need(), group.count(), rooms.values(), (r, n) -> {}) < group.count()) {
-        return;
-      }
-    }
     for (Headroom.Kept kept : leader.headroom().kept(loop.now())) {
       if (Placer.fill(kept.need(), 2 * kept.count(), rooms.values(), (r, n) -> {})
           < 2 * kept.count()) {
