No tasks ahead where a class has a start aim; guarantees are claimed later

Narrowed: tasks go ahead only where no class has a start aim, and a guarantee is claimed after 0.6 of its time.

--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -59,8 +59,7 @@
   private static final Duration RESEND = Duration.ofMillis(700);
   private static final int ATTEMPT_BITS = 20;
   private static final int CYCLE_SHARE = 4;
-  private static final double AHEAD_OF_AIM = 0.2;
-  private static final double GUARANTEE_PATIENCE = 0.3;
+  private static final double GUARANTEE_PATIENCE = 0.6;
 
   /** States of a term. */
   enum State {
@@ -136,11 +135,12 @@
         new Preemption(
             around.tunables().number(Tunables.Key.PREEMPT_RAN_S),
             around.tunables().number(Tunables.Key.PREEMPT_SLACK_S));
-    this.aheadSeconds =
+    // Room that frees first refills what is kept for classes with a start aim; tasks that wait at
+    // holders would take it before.
+    boolean startAims =
         around.settings().cluster().objectives().stream()
-            .filter(objective -> objective.kind().equals("wait"))
-            .mapToDouble(objective -> objective.withinSeconds() * AHEAD_OF_AIM)
-            .reduce(around.tunables().number(Tunables.Key.AHEAD_S), Math::min);
+            .anyMatch(objective -> objective.kind().equals("wait"));
+    this.aheadSeconds = startAims ? 0 : around.tunables().number(Tunables.Key.AHEAD_S);
     this.guaranteeWithin =
         around.settings().cluster().objectives().stream()
             .filter(objective -> objective.kind().equals("guarantee"))
@@ -653,7 +653,8 @@
    */
   private void delegateAhead(
       List<Job> order, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
-    if (order.stream().noneMatch(job -> mayWaitAtHolder(job) && job.waitingCount() > 0)) {
+    if (aheadSeconds == 0
+        || order.stream().noneMatch(job -> mayWaitAtHolder(job) && job.waitingCount() > 0)) {
       return;
     }
     Map<MachineId, Room> byMachine = new HashMap<>();
