--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -59,7 +59,7 @@
   private static final Duration RESEND = Duration.ofMillis(700);
   private static final int ATTEMPT_BITS = 20;
   private static final int CYCLE_SHARE = 4;
-  private static final double GUARANTEE_PATIENCE = 0.6;
+  private static final double GUARANTEE_PATIENCE = 1;
 
   /** States of a term. */
   enum State {
@@ -717,7 +717,13 @@
             job,
             order,
             inUse,
-            new StopRules.ByGuarantee(job, ranking(), quota, inUse, jobs.values()));
+            new StopRules.ByGuarantee(
+                job,
+                ranking(),
+                other -> headroom.protects(other.spec()),
+                quota,
+                inUse,
+                jobs.values()));
       }
     }
   }
--- a/src/main/java/org/mulleinshift/coordination/StopRules.java
+++ b/src/main/java/org/mulleinshift/coordination/StopRules.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.protocol.Resources;
@@ -25,16 +26,27 @@
     }
   }
 
-  /** Only work that another team runs beyond its own guarantee, and only down to that. */
+  /**
+   * Only work that another team runs beyond its own guarantee, and only down to that. Narrower than
+   * the protocol allows: nothing more urgent, and nothing that itself has a start aim, which each
+   * stop would miss.
+   */
   static final class ByGuarantee implements Preemption.GivesWay {
     private final Job job;
     private final Ranking ranking;
+    private final Predicate<Job> startsSoon;
     private final Map<TeamId, Double> excess = new HashMap<>();
 
     ByGuarantee(
-        Job job, Ranking ranking, Quota quota, Map<TeamId, Resources> inUse, Collection<Job> jobs) {
+        Job job,
+        Ranking ranking,
+        Predicate<Job> startsSoon,
+        Quota quota,
+        Map<TeamId, Resources> inUse,
+        Collection<Job> jobs) {
       this.job = job;
       this.ranking = ranking;
+      this.startsSoon = startsSoon;
       inUse.forEach((team, used) -> excess.put(team, used.cpus() - quota.guaranteed(team)));
       // What is being stopped already no longer counts.
       for (Job other : jobs) {
@@ -49,6 +61,8 @@
     @Override
     public boolean mayStop(Job other) {
       return !other.spec().team().equals(job.spec().team())
+          && !other.spec().priority().above(job.spec().priority())
+          && !startsSoon.test(other)
           && !ranking.guaranteed(other)
           && excess.getOrDefault(other.spec().team(), 0.0) >= other.spec().perTask().cpus();
     }
