--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -197,12 +197,17 @@
     if (track(machine).giveBack()) {
       deleting.add(machine);
       LOG.info("{} {}: returning it", machine, why);
-      leader.blocks().values().stream()
-          .filter(block -> block.machines().containsKey(machine))
-          .forEach(block -> leader.touch(block.id()));
+      touchBlockOf(machine);
     }
   }
 
+  /** The block's holder hears which machines take no new task. */
+  private void touchBlockOf(MachineId machine) {
+    leader.blocks().values().stream()
+        .filter(block -> block.machines().containsKey(machine))
+        .forEach(block -> leader.touch(block.id()));
+  }
+
   private void deleteSome() {
     if (deleting.isEmpty() || deleteInFlight || !cloud.budget().take(1, 0)) {
       return;
@@ -301,8 +306,7 @@
     for (Walk.Waiting group : shortage) {
       if (bestOffer(group.need(), group.count(), Map.of()).isEmpty()) {
         for (MachineType type : around.catalog().types().values()) {
-          if (group.need().perTask().fitsInto(type.size())
-              && (group.need().types().isEmpty() || group.need().types().contains(type.id()))) {
+          if (group.need().perTask().fitsInto(type.size()) && group.need().allowsType(type.id())) {
             scarce.add(type.id());
           }
         }
@@ -358,22 +362,18 @@
                   return;
                 }
                 Room room =
-                    new Room(
+                    Room.on(
+                        block,
                         id,
-                        block.id(),
-                        block.zone(),
-                        record.type(),
-                        record.spot(),
-                        type.get().dearness(record.spot()),
-                        size,
+                        record,
+                        type.get(),
                         record.up() ? size : Resources.ZERO,
                         Set.of());
                 rooms.add(room);
                 byMachine.put(id, room);
                 if (!record.up()) {
                   // Within the horizon even if its type boots slower than that: a machine on its
-                  // way
-                  // that is no room is rented for again with every resize.
+                  // way that is no room is rented for again with every resize.
                   double at = Math.min(horizon, Math.max(0, bootLeft));
                   releases.add(new Walk.Release(at, room, size));
                 }
@@ -468,7 +468,7 @@
     Map<Offer, Integer> wanted = new LinkedHashMap<>();
     List<Room> fresh = new ArrayList<>();
     for (Walk.Waiting group : shortage) {
-      int left = group.count() - Placer.fill(group.need(), group.count(), fresh, (r, n) -> {});
+      int left = group.count() - Placer.fill(group.need(), group.count(), fresh);
       while (left > 0) {
         Optional<Offer> offer = bestOffer(group.need(), left, wanted);
         if (offer.isEmpty()) {
@@ -476,7 +476,7 @@
         }
         wanted.merge(offer.get(), 1, Integer::sum);
         Room room = freshRoom(offer.get(), fresh);
-        left -= Placer.fill(group.need(), left, List.of(room), (r, n) -> {});
+        left -= Placer.fill(group.need(), left, List.of(room));
       }
     }
     wanted.forEach(this::rentInParts);
@@ -735,8 +735,7 @@
     collectMachines(new ArrayList<>(), new ArrayList<>(), rooms, 0);
     collectRunning(rooms, new ArrayList<>(), 0);
     for (Headroom.Kept kept : leader.headroom().kept(loop.now())) {
-      if (Placer.fill(kept.need(), 2 * kept.count(), rooms.values(), (r, n) -> {})
-          < 2 * kept.count()) {
+      if (Placer.fill(kept.need(), 2 * kept.count(), rooms.values()) < 2 * kept.count()) {
         return;
       }
     }
@@ -757,9 +756,7 @@
       if (known.spare(spare, loop.now()) >= patience && spare) {
         LOG.info("{} is spare: it takes no new tasks", candidate.machine());
         known.drain();
-        leader.blocks().values().stream()
-            .filter(block -> block.machines().containsKey(candidate.machine()))
-            .forEach(block -> leader.touch(block.id()));
+        touchBlockOf(candidate.machine());
       }
     }
   }
@@ -775,8 +772,7 @@
       needs.merge(PlacementNeed.of(job.spec()), 1, Integer::sum);
     }
     for (Map.Entry<PlacementNeed, Integer> need : needs.entrySet()) {
-      if (Placer.fill(need.getKey(), need.getValue(), trial.values(), (r, n) -> {})
-          < need.getValue()) {
+      if (Placer.fill(need.getKey(), need.getValue(), trial.values()) < need.getValue()) {
         return false;
       }
     }
--- a/src/main/java/org/mulleinshift/coordination/FreeRoom.java
+++ b/src/main/java/org/mulleinshift/coordination/FreeRoom.java
@@ -44,7 +44,7 @@
       unplaced.forEach(
           (job, count) -> {
             PlacementNeed need = PlacementNeed.of(leader.jobs().get(job).spec());
-            int left = count - Placer.fill(need, count, found, (r, n) -> {});
+            int left = count - Placer.fill(need, count, found);
             if (left > 0) {
               ahead.add(new Ahead(block.id(), need, left));
             }
@@ -66,14 +66,11 @@
       MachineReport report = block.reportOf(id).orElse(null);
       if (type != null && report != null && record.up() && usable(id, report)) {
         found.add(
-            new Room(
+            Room.on(
+                block,
                 id,
-                block.id(),
-                block.zone(),
-                record.type(),
-                record.spot(),
-                type.dearness(record.spot()),
-                type.size(),
+                record,
+                type,
                 type.size().minus(leader.occupancy().used(id)),
                 report.getImages()));
       }
--- a/src/main/java/org/mulleinshift/coordination/Headroom.java
+++ b/src/main/java/org/mulleinshift/coordination/Headroom.java
@@ -46,6 +46,11 @@
     return classes.contains(spec.jobClass());
   }
 
+  /** Whether any class has a start aim. */
+  boolean protectsAny() {
+    return !classes.isEmpty();
+  }
+
   void arrived(JobSpec spec, SteadyTime now) {
     if (protects(spec)) {
       Seen known = seen.computeIfAbsent(spec.jobClass(), key -> new Seen());
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -59,7 +59,6 @@
   private static final Duration RESEND = Duration.ofMillis(700);
   private static final int ATTEMPT_BITS = 20;
   private static final int CYCLE_SHARE = 4;
-  private static final double GUARANTEE_PATIENCE = 1;
 
   /** States of a term. */
   enum State {
@@ -137,10 +136,7 @@
             around.tunables().number(Tunables.Key.PREEMPT_SLACK_S));
     // Room that frees first refills what is kept for classes with a start aim; tasks that wait at
     // holders would take it before.
-    boolean startAims =
-        around.settings().cluster().objectives().stream()
-            .anyMatch(objective -> objective.kind().equals("wait"));
-    this.aheadSeconds = startAims ? 0 : around.tunables().number(Tunables.Key.AHEAD_S);
+    this.aheadSeconds = headroom.protectsAny() ? 0 : around.tunables().number(Tunables.Key.AHEAD_S);
     this.guaranteeWithin =
         around.settings().cluster().objectives().stream()
             .filter(objective -> objective.kind().equals("guarantee"))
@@ -668,7 +664,7 @@
     }
     for (FreeRoom.Ahead known : freeRoom.ahead()) {
       List<Room> own = rooms.stream().filter(room -> room.block().equals(known.block())).toList();
-      Placer.fill(known.need(), known.count(), own, (r, n) -> {});
+      Placer.fill(known.need(), known.count(), own);
     }
     for (Job job : order) {
       if (mayWaitAtHolder(job)) {
@@ -746,7 +742,7 @@
   private boolean claimsGuarantee(Job job, Map<TeamId, Resources> inUse) {
     Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
     double waited = (loop.wallMillis() - job.acceptedMillis()) / 1000.0;
-    return guaranteeWithin.filter(within -> waited >= within * GUARANTEE_PATIENCE).isPresent()
+    return guaranteeWithin.filter(within -> waited >= within).isPresent()
         && ranking().guaranteed(job)
         && used.plus(job.spec().perTask()).cpus() <= quota.guaranteed(job.spec().team()) + 1e-6;
   }
@@ -764,7 +760,7 @@
 
   private void keepHeadroom(List<Room> rooms) {
     for (Headroom.Kept kept : headroom.kept(loop.now())) {
-      Placer.fill(kept.need(), kept.count(), rooms, (room, count) -> {});
+      Placer.fill(kept.need(), kept.count(), rooms);
     }
   }
 
--- a/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
+++ b/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
@@ -25,16 +25,19 @@
 
   /** The same on some types only; none are left if it allows none of them. */
   PlacementNeed onlyOn(List<MachineTypeId> some) {
-    List<MachineTypeId> left =
-        some.stream().filter(type -> types.isEmpty() || types.contains(type)).toList();
+    List<MachineTypeId> left = some.stream().filter(this::allowsType).toList();
     return new PlacementNeed(perTask, image, left, zone, spotAllowed);
   }
 
+  boolean allowsType(MachineTypeId type) {
+    return types.isEmpty() || types.contains(type);
+  }
+
   boolean allowsZone(ZoneId candidate) {
     return zone.isEmpty() || zone.get().equals(candidate);
   }
 
   boolean allows(MachineTypeId type, boolean spot) {
-    return (types.isEmpty() || types.contains(type)) && (spotAllowed || !spot);
+    return allowsType(type) && (spotAllowed || !spot);
   }
 }
--- a/src/main/java/org/mulleinshift/coordination/Placer.java
+++ b/src/main/java/org/mulleinshift/coordination/Placer.java
@@ -31,6 +31,11 @@
     return count - left;
   }
 
+  /** The same where it does not matter on which machines. */
+  static int fill(PlacementNeed need, int count, Collection<Room> rooms) {
+    return fill(need, count, rooms, (room, taken) -> {});
+  }
+
   static Optional<Room> choose(PlacementNeed need, Collection<Room> rooms) {
     Room best = null;
     double bestScore = 0;
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.Set;
+import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.MachineTypeId;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.ZoneId;
@@ -47,6 +49,26 @@
     this.known = images;
   }
 
+  /** Room on a machine of a block. */
+  static Room on(
+      LeaderBlock block,
+      MachineId machine,
+      MachineRecord record,
+      MachineType type,
+      Resources free,
+      Collection<String> images) {
+    return new Room(
+        machine,
+        block.id(),
+        block.zone(),
+        record.type(),
+        record.spot(),
+        type.dearness(record.spot()),
+        type.size(),
+        free,
+        images);
+  }
+
   boolean takes(PlacementNeed need) {
     return need.perTask().fitsInto(free) && allowedFor(need);
   }
