Failures are blamed on the job or on the machine, no longer on whatever ran last

Cause: failuresInRow counted whatever failed on a machine. Change: Blame. A job that failed on three machines without ever succeeding gets one spaced try at a time, and is no demand, no claim and no preemptor; a machine is faulty once jobs that succeed elsewhere fail there, several of them or one twice as often; while that is open it takes nothing for 10 s.

--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Blame.java
@@ -0,0 +1,155 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.transport.SteadyTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Whose fault failures are. A job that fails on several machines and has never succeeded was
+ * submitted with a mistake; a machine is faulty when jobs that succeed elsewhere fail there again
+ * and again. What a blamed job did says nothing of machines: else one mistake takes the fleet out
+ * of use.
+ */
+final class Blame {
+  private static final Logger LOG = LoggerFactory.getLogger(Blame.class);
+
+  /** A job that failed on so many machines, and never succeeded, is to blame itself. */
+  private static final int JOB_MACHINES = 3;
+
+  /** The same where there are too few machines to tell. */
+  private static final int JOB_FAILURES = 10;
+
+  private static final int MOST_DOUBLINGS = 4;
+  private static final Duration SUSPECT_FOR = Duration.ofSeconds(10);
+
+  private static final class JobFailures {
+    private final Set<MachineId> machines = new LinkedHashSet<>();
+    private int failures;
+    private int tries;
+    private boolean blamed;
+    private SteadyTime notBefore;
+  }
+
+  private static final class MachineFailures {
+    private final Map<Job, Integer> byJob = new LinkedHashMap<>();
+    private SteadyTime lastAt;
+  }
+
+  private final int faultyAfter;
+  private final Duration pause;
+  private final Map<JobId, JobFailures> jobs = new HashMap<>();
+  private final Map<MachineId, MachineFailures> machines = new HashMap<>();
+
+  Blame(int faultyAfter, Duration pause) {
+    this.faultyAfter = faultyAfter;
+    this.pause = pause;
+  }
+
+  /** A task of the job failed on the machine. */
+  void failed(Job job, MachineId machine, SteadyTime now) {
+    JobFailures known = jobs.computeIfAbsent(job.spec().id(), key -> new JobFailures());
+    known.failures++;
+    if (known.blamed) {
+      known.tries++;
+      known.notBefore = now.plus(pause.multipliedBy(1L << Math.min(known.tries, MOST_DOUBLINGS)));
+      return;
+    }
+    MachineFailures there = machines.computeIfAbsent(machine, key -> new MachineFailures());
+    there.byJob.merge(job, 1, Integer::sum);
+    there.lastAt = now;
+    if (known.machines.size() < JOB_MACHINES && !faulty(machine)) {
+      known.machines.add(machine);
+    }
+    boolean several = known.machines.size() >= JOB_MACHINES || known.failures >= JOB_FAILURES;
+    if (several && !proven(job)) {
+      LOG.info("job {} fails on several machines: it gets few tries", job.spec().id());
+      known.blamed = true;
+      known.notBefore = now.plus(pause);
+      forgetOnMachines(job.spec().id());
+    }
+  }
+
+  /** A task of the job was done on the machine: neither is to blame. */
+  void succeeded(Job job, MachineId machine) {
+    machines.remove(machine);
+    JobFailures known = jobs.remove(job.spec().id());
+    if (known != null && known.blamed) {
+      LOG.info("job {} succeeds after all", job.spec().id());
+    }
+  }
+
+  private void forgetOnMachines(JobId job) {
+    machines
+        .values()
+        .removeIf(
+            there -> {
+              there.byJob.keySet().removeIf(other -> other.spec().id().equals(job));
+              return there.byJob.isEmpty();
+            });
+  }
+
+  void over(JobId job) {
+    jobs.remove(job);
+    forgetOnMachines(job);
+  }
+
+  void gone(List<MachineId> returned) {
+    machines.keySet().removeAll(returned);
+  }
+
+  private static boolean proven(Job job) {
+    return job.doneCount() > 0;
+  }
+
+  boolean blamed(Job job) {
+    JobFailures known = jobs.get(job.spec().id());
+    return known != null && known.blamed;
+  }
+
+  /** How many of the job's tasks may be tried now: of a blamed job one at a time, spaced out. */
+  int tries(Job job, SteadyTime now) {
+    JobFailures known = jobs.get(job.spec().id());
+    if (known == null || !known.blamed) {
+      return Integer.MAX_VALUE;
+    }
+    return job.delegatedCount() == 0 && !known.notBefore.isAfter(now) ? 1 : 0;
+  }
+
+  /**
+   * Jobs that succeed elsewhere failed there, with no success between: several jobs, or one twice
+   * as often.
+   */
+  boolean faulty(MachineId machine) {
+    MachineFailures there = machines.get(machine);
+    if (there == null) {
+      return false;
+    }
+    int accusers = 0;
+    int failures = 0;
+    for (Map.Entry<Job, Integer> entry : there.byJob.entrySet()) {
+      if (proven(entry.getKey())) {
+        accusers++;
+        failures += entry.getValue();
+      }
+    }
+    return failures >= (accusers > 1 ? faultyAfter : 2 * faultyAfter);
+  }
+
+  /** Something fails there and it is open whose fault that is: it takes nothing for a while. */
+  boolean suspect(MachineId machine, SteadyTime now) {
+    MachineFailures there = machines.get(machine);
+    return there != null
+        && now.since(there.lastAt).compareTo(SUSPECT_FOR) < 0
+        && there.byJob.values().stream().mapToInt(Integer::intValue).sum() >= faultyAfter;
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -186,7 +186,7 @@
             entry.getValue().up()
                 && report.isPresent()
                 && report.get().getSilence().equals(HeldMachine.Silence.GONE.name());
-        if (overdue || silent || leader.faulty(id)) {
+        if (overdue || silent || leader.blame().faulty(id)) {
           giveUp(id, overdue ? "does not come up" : silent ? "is silent" : "fails its tasks");
         }
       }
@@ -235,6 +235,7 @@
       deleted.remove(deleted.iterator().next());
     }
     machines.forEach(tracked::remove);
+    leader.blame().gone(machines);
     for (LeaderBlock block : leader.blocks().values()) {
       if (block.machines().keySet().removeAll(machines)) {
         store(block);
@@ -454,6 +455,8 @@
       }
       Resources used = use.getOrDefault(job.spec().team(), Resources.ZERO);
       int count = Math.min(job.waitingCount(), leader.quota().withinLimit(job, used));
+      // A job submitted with a mistake is no demand beyond its next try.
+      count = Math.min(count, leader.blame().tries(job, loop.now()));
       if (count > 0) {
         use.put(job.spec().team(), used.plus(job.spec().perTask().times(count)));
         groups.add(
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -91,7 +91,7 @@
   private final Quota quota;
   private final FreeRoom freeRoom;
   private final AssignmentWriter assignments;
-  private final Map<MachineId, Integer> failuresInRow = new HashMap<>();
+  private final Blame blame;
   private final Occupancy occupancy = new Occupancy();
   private final Fleet fleet;
   private final Headroom headroom;
@@ -125,6 +125,10 @@
     this.quota = new Quota(around.settings().cluster().teams());
     this.freeRoom = new FreeRoom(this, around.catalog());
     this.assignments = new AssignmentWriter(this, loop, term);
+    this.blame =
+        new Blame(
+            around.tunables().count(Tunables.Key.FAULTY_AFTER),
+            around.tunables().seconds(Tunables.Key.ERROR_PAUSE_S));
     this.headroom =
         new Headroom(
             around.settings().cluster().objectives(),
@@ -399,14 +403,15 @@
       case STARTING, FETCHING -> delegation.placed(machine);
       case RUNNING, SAVING -> delegation.running(machine, since);
       case DONE -> {
-        failuresInRow.remove(machine);
+        blame.succeeded(job, machine);
         double seconds = report.getRanMs() / 1000.0;
         around.runTimes().finished(job.spec(), seconds);
         job.taskDone(delegation, seconds);
         changed(job, report.getIndex());
       }
       case FAILED -> {
-        failuresInRow.merge(machine, 1, Integer::sum);
+        blame.failed(job, machine, loop.now());
+        touch(delegation.block());
         job.countFailure();
         // Spaced out, so that a job that fails everywhere does not keep the fleet busy.
         double pause =
@@ -430,12 +435,11 @@
 
   /** Takes no new task. */
   boolean closed(MachineId machine) {
-    return fleet.closed(machine) || faulty(machine);
+    return fleet.closed(machine) || blame.faulty(machine) || blame.suspect(machine, loop.now());
   }
 
-  boolean faulty(MachineId machine) {
-    return failuresInRow.getOrDefault(machine, 0)
-        >= around.tunables().count(Tunables.Key.FAULTY_AFTER);
+  Blame blame() {
+    return blame;
   }
 
   private void changed(Job job, int index) {
@@ -609,7 +613,7 @@
   private void delegate(Job job, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
     TeamId team = job.spec().team();
     Resources used = inUse.getOrDefault(team, Resources.ZERO);
-    int allowed = quota.withinLimit(job, used);
+    int allowed = Math.min(quota.withinLimit(job, used), blame.tries(job, loop.now()));
     if (allowed == 0 || job.waitingCount() == 0) {
       return;
     }
@@ -702,7 +706,7 @@
 
   private void preempt(List<Job> order, Map<TeamId, Resources> inUse) {
     for (Job job : order) {
-      if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0) {
+      if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0 || blame.blamed(job)) {
         continue;
       }
       if (Preemption.mayPreempt(job) && pressing(job)) {
@@ -769,7 +773,12 @@
     if (ranking.isEmpty()) {
       ranking =
           Optional.of(
-              Ranking.of(jobs.values(), quota.teams(), around.runTimes(), loop.wallMillis()));
+              Ranking.of(
+                  jobs.values(),
+                  blame::blamed,
+                  quota.teams(),
+                  around.runTimes(),
+                  loop.wallMillis()));
     }
     return ranking.get();
   }
@@ -869,6 +878,7 @@
       }
       job.finishEnd();
       jobs.remove(id);
+      blame.over(id);
       journal.forgotten(Keys.ended(id));
       left.forEach(occupancy::leave);
       left.forEach(Leader.this::untell);
--- a/src/main/java/org/mulleinshift/coordination/Ranking.java
+++ b/src/main/java/org/mulleinshift/coordination/Ranking.java
@@ -8,13 +8,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.TeamId;
 import org.mulleinshift.settings.PlatformSettings;
 
-/** The order in which jobs get room: priority, then guarantee, then who can make its deadline. */
+/**
+ * The order in which jobs get room: priority, then guarantee, then who can make its deadline; last
+ * those that fail everywhere, which also use up nothing of a guarantee.
+ */
 final class Ranking {
   private final List<Job> order;
   private final Map<JobId, Integer> ranks = new HashMap<>();
@@ -26,6 +30,7 @@
 
   static Ranking of(
       Collection<Job> jobs,
+      Predicate<Job> blamed,
       Map<String, PlatformSettings.Team> teams,
       RunTimes runTimes,
       long nowMillis) {
@@ -34,6 +39,9 @@
     Ranking ranking = new Ranking(order);
     Map<TeamId, Resources> earlier = new HashMap<>();
     for (Job job : order) {
+      if (blamed.test(job)) {
+        continue;
+      }
       Resources need = job.spec().perTask().times(job.spec().tasks() - job.doneCount());
       Resources sum = earlier.merge(job.spec().team(), need, Resources::plus);
       PlatformSettings.Team team = teams.get(job.spec().team().value());
@@ -47,7 +55,8 @@
       late.put(job.spec().id(), job.dueMillis() < nowMillis + expected);
     }
     order.sort(
-        Comparator.<Job>comparingInt(job -> job.spec().priority().ordinal())
+        Comparator.<Job>comparingInt(job -> blamed.test(job) ? 1 : 0)
+            .thenComparingInt(job -> job.spec().priority().ordinal())
             .thenComparing(job -> ranking.guaranteed(job) ? 0 : 1)
             .thenComparing(job -> late.get(job.spec().id()) ? 1 : 0)
             .thenComparingLong(Job::dueMillis));
