Controllers that stand still or cannot hear their workers lose their blocks before leases end

At 387 s a controller lost only its workers; nothing took its blocks from it. Ruled out: slow elections (0.1 s after the lease's end), loading (0.2 s). Change: silence is counted since a peer was last heard, or this process began; workers are not sent to a holder that is silent or says that its machines have stopped reporting, but past it; such machines are made known to the leader (Knock), and a holder that is silent to its workers while they knock elsewhere is unfit for 20 s, doubling (HolderFitness). A standstill of the loop is noticed and logged before anything else runs; what could not be heard meanwhile counts as heard.

--- a/src/main/java/org/mulleinshift/Rehearsal.java
+++ b/src/main/java/org/mulleinshift/Rehearsal.java
@@ -25,7 +25,7 @@
       throws InterruptedException {
     try {
       PeerCodec codec = new PeerCodec();
-      codec.read(codec.write(new NodeId("rehearsal"), List.of(new Heartbeat(1L, 1L))));
+      codec.read(codec.write(new NodeId("rehearsal"), List.of(new Heartbeat(1L, 1L, false))));
       StateCodec.parseRange("{\"rows\":[{\"k\":\"a\",\"value\":{},\"stamp\":1}],\"epoch\":1}");
       WorkerCodec.parseReport("{\"host\":\"a\",\"pieces\":[]}");
     } catch (BadMessage e) {
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.mulleinshift.bookkeeping.ControlView.BlockRecord;
 import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
 import org.mulleinshift.protocol.Attempt;
@@ -77,6 +78,7 @@
   private final Revision grant;
   private final BooleanSupplier entitled;
   private final SteadyTime startedAt;
+  private SteadyTime listeningSince;
   private final Map<MachineId, HeldMachine> machines = new TreeMap<>();
   private final Map<TaskId, HeldTask> tasks = new LinkedHashMap<>();
   private final Set<HeldTask> unplaced = new LinkedHashSet<>();
@@ -99,6 +101,7 @@
     this.grant = grant;
     this.entitled = entitled;
     this.startedAt = loop.now();
+    this.listeningSince = startedAt;
   }
 
   Revision grant() {
@@ -471,6 +474,26 @@
     return last.plus(lease).plus(lease.dividedBy(500)).plusMillis(500);
   }
 
+  /** Whoever reported while this process stood still was not heard: that was not their silence. */
+  void stoodStill() {
+    listeningSince = loop.now();
+  }
+
+  /** Machines that should be heard by now: none that may still be looking for this node. */
+  private Stream<HeldMachine> expected() {
+    boolean settled = loop.now().since(startedAt).compareTo(around.timing().lease()) > 0;
+    return machines.values().stream()
+        .filter(m -> m.record().up() && (settled || m.answeredAt().isPresent()));
+  }
+
+  int knownMachines() {
+    return (int) expected().count();
+  }
+
+  int silentMachines() {
+    return (int) expected().filter(m -> m.silence() != HeldMachine.Silence.HEARD).count();
+  }
+
   private void placeAndSend() {
     place();
     sendDirect();
@@ -561,7 +584,8 @@
   }
 
   private HeldMachine.Silence silenceOf(HeldMachine machine, SteadyTime now) {
-    Duration silent = now.since(machine.answeredAt().orElse(startedAt));
+    SteadyTime last = machine.answeredAt().orElse(startedAt);
+    Duration silent = now.since(listeningSince.isAfter(last) ? listeningSince : last);
     if (silent.compareTo(around.timing().lease().plusSeconds(1)) > 0) {
       return HeldMachine.Silence.GONE;
     }
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -25,6 +25,7 @@
 import org.mulleinshift.protocol.peer.BlockReport;
 import org.mulleinshift.protocol.peer.Heartbeat;
 import org.mulleinshift.protocol.peer.JobDigest;
+import org.mulleinshift.protocol.peer.Knock;
 import org.mulleinshift.protocol.peer.PeerFrame;
 import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
@@ -49,6 +50,7 @@
   private static final double OTHER_WRITES = 0.4;
   private static final double WATCH_SHARE = 0.25;
   private static final Duration STORE_LOST = Duration.ofSeconds(4);
+  private static final Duration NOT_HEARD = Duration.ofMillis(2500);
 
   /** The ways out of the process. */
   public record Outside(
@@ -72,7 +74,8 @@
   private final Set<JobId> cancelled = new HashSet<>();
   private final Map<NodeId, SteadyTime> heardAt = new HashMap<>();
   private final Map<NodeId, List<Object>> outbox = new HashMap<>();
-  private final Map<NodeId, Long> storeSilence = new HashMap<>();
+  private final Map<NodeId, Heartbeat> beats = new HashMap<>();
+  private final SteadyTime startedAt;
   private final Session session;
   private final Election election;
   private final Catalog catalog;
@@ -86,6 +89,7 @@
 
   public Controller(PlatformSettings settings, Tunables tunables, Outside outside) {
     this.loop = outside.loop();
+    this.startedAt = loop.now();
     this.settings = settings;
     this.tunables = tunables;
     this.self = new NodeId(settings.label());
@@ -133,6 +137,10 @@
                 blockLease,
                 cancelled::contains,
                 this::onBlockNews),
+            new HolderDesk.Peers(
+                settings.members().stream().map(m -> new NodeId(m.label())).toList(),
+                this::answersWorkers,
+                this::beat),
             this::toLeader);
     this.frontend =
         new Frontend(
@@ -176,7 +184,8 @@
     jobs.start();
     catalog.start();
     desk.start();
-    heartbeat();
+    loop.onStandstill(this::stoodStill);
+    beatRegularly();
   }
 
   @Override
@@ -229,27 +238,60 @@
     boolean started = session.state() == Session.State.HELD && jobsKnown && catalog.known();
     boolean lost = session.storeSilence().compareTo(STORE_LOST) > 0;
     boolean othersServed =
-        storeSilence.entrySet().stream()
+        beats.entrySet().stream()
             .anyMatch(
                 entry ->
-                    entry.getValue() < STORE_LOST.toMillis()
+                    entry.getValue().getStoreSilentMs() < STORE_LOST.toMillis()
                         && peerSilence(entry.getKey()).compareTo(STORE_LOST) < 0);
     return started && !(lost && othersServed);
   }
 
+  /** Of a peer never heard of it is known only that it was silent since this process began. */
   private Duration peerSilence(NodeId node) {
-    SteadyTime at = heardAt.get(node);
-    return at == null ? Duration.ofDays(1) : loop.now().since(at);
+    if (node.equals(self)) {
+      return Duration.ZERO;
+    }
+    return loop.now().since(heardAt.getOrDefault(node, startedAt));
+  }
+
+  /** Whether a controller says that its machines have stopped reporting to it. */
+  private boolean workersSilent(NodeId node) {
+    if (node.equals(self)) {
+      return desk.workersSilent();
+    }
+    Heartbeat last = beats.get(node);
+    return last != null && last.getWorkersSilent();
+  }
+
+  /** Whether workers should be sent there: not to one that is silent, or cannot hear them. */
+  private boolean answersWorkers(NodeId node) {
+    return peerSilence(node).compareTo(NOT_HEARD) < 0 && !workersSilent(node);
+  }
+
+  private void beatRegularly() {
+    loop.after(HEARTBEAT, this::beatRegularly);
+    beat();
   }
 
-  private void heartbeat() {
-    loop.after(HEARTBEAT, this::heartbeat);
+  private void beat() {
     Heartbeat beat =
         new Heartbeat(
-            session.hold().map(hold -> hold.value()).orElse(0L), session.storeSilence().toMillis());
+            session.hold().map(hold -> hold.value()).orElse(0L),
+            session.storeSilence().toMillis(),
+            desk.workersSilent());
     settings.members().forEach(member -> send(new NodeId(member.label()), beat));
   }
 
+  /**
+   * This process stood still while the clocks ran on. What it has not heard since says nothing of
+   * the others; whatever else was fresh before is checked by the clock where it is acted on.
+   */
+  private void stoodStill(Duration gap) {
+    LOG.warn("stood still for {} ms", gap.toMillis());
+    heardAt.replaceAll((node, at) -> loop.now());
+    desk.stoodStill();
+  }
+
   private void send(NodeId node, Object body) {
     if (node.equals(self)) {
       deliver(self, body);
@@ -297,7 +339,7 @@
 
   private void deliver(NodeId sender, Object body) {
     if (body instanceof Heartbeat beat) {
-      storeSilence.put(sender, beat.getStoreSilentMs());
+      beats.put(sender, beat);
     } else if (body instanceof Assignment assignment) {
       desk.onAssignment(assignment);
     } else if (body instanceof BlockReport report) {
@@ -306,6 +348,8 @@
       desk.onReportsSeen(seen);
     } else if (body instanceof StrangerReport report) {
       leader.ifPresent(term -> term.onStranger(report));
+    } else if (body instanceof Knock knock) {
+      leader.ifPresent(term -> term.onKnock(knock));
     } else if (body instanceof JobDigest digest) {
       frontend.onDigest(digest);
     }
@@ -399,6 +443,7 @@
                   catalog,
                   runTimes,
                   Controller.this::peerSilence,
+                  Controller.this::workersSilent,
                   Controller.this::send,
                   election::certain,
                   () -> election.resign("another leader's term")),
--- a/src/main/java/org/mulleinshift/coordination/HolderDesk.java
+++ b/src/main/java/org/mulleinshift/coordination/HolderDesk.java
@@ -1,21 +1,29 @@
 package org.mulleinshift.coordination;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.mulleinshift.bookkeeping.ControlView;
 import org.mulleinshift.bookkeeping.ControlView.GrantRecord;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobCodec;
 import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.NodeId;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.WorkerCodec;
 import org.mulleinshift.protocol.WorkerReport;
 import org.mulleinshift.protocol.peer.Assignment;
+import org.mulleinshift.protocol.peer.Knock;
 import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
 import org.mulleinshift.transport.EventLoop;
@@ -30,13 +38,22 @@
   private static final Duration REPORT_SPACING = Duration.ofMillis(80);
   private static final Duration REPORT_AT_LEAST = Duration.ofSeconds(1);
 
+  private static final int FEW_MACHINES = 2;
+  private static final Duration KNOCKS = Duration.ofMillis(400);
+
+  /** What the desk asks of the other controllers. */
+  record Peers(List<NodeId> nodes, Predicate<NodeId> answersWorkers, Runnable beat) {}
+
   private final EventLoop loop;
   private final NodeId self;
   private final ControlView view;
   private final Session session;
   private final BlockHolder.Surroundings around;
+  private final Peers peers;
   private final Consumer<Object> toLeader;
   private final Map<BlockId, BlockHolder> held = new HashMap<>();
+  private final Map<BlockId, Set<MachineId>> knocked = new HashMap<>();
+  private boolean workersSilent;
   private boolean reportPlanned;
   private long badReports;
 
@@ -45,12 +62,14 @@
       ControlView view,
       Session session,
       BlockHolder.Surroundings around,
+      Peers peers,
       Consumer<Object> toLeader) {
     this.loop = around.loop();
     this.self = self;
     this.view = view;
     this.session = session;
     this.around = around;
+    this.peers = peers;
     this.toLeader = toLeader;
   }
 
@@ -62,6 +81,30 @@
   private void tick() {
     loop.after(TICK, this::tick);
     held.values().forEach(BlockHolder::tick);
+    boolean silent = mostAreSilent();
+    if (silent != workersSilent) {
+      LOG.info("most machines {} report", silent ? "no longer" : "again");
+      workersSilent = silent;
+      peers.beat().run();
+    }
+  }
+
+  /**
+   * Most of the machines that answered to this node have stopped. If they report to others instead,
+   * it is this node that cannot be reached.
+   */
+  private boolean mostAreSilent() {
+    int known = 0;
+    int silent = 0;
+    for (BlockHolder holder : held.values()) {
+      known += holder.knownMachines();
+      silent += holder.silentMachines();
+    }
+    return known >= FEW_MACHINES && 2 * silent >= known;
+  }
+
+  boolean workersSilent() {
+    return workersSilent;
   }
 
   private void reportRegularly() {
@@ -136,6 +179,10 @@
     }
   }
 
+  void stoodStill() {
+    held.values().forEach(BlockHolder::stoodStill);
+  }
+
   void onCancelled(JobId job) {
     held.values().forEach(holder -> holder.onCancelled(job));
   }
@@ -174,10 +221,55 @@
       return;
     }
     GrantRecord grant = view.grants().get(block.get());
+    Optional<NodeId> next = Optional.empty();
     if (grant != null && !grant.holder().equals(self)) {
-      responder.respond(421, WorkerCodec.redirect(grant.holder()));
-    } else {
-      responder.respond(421, "{}");
+      if (peers.answersWorkers().test(grant.holder())) {
+        next = Optional.of(grant.holder());
+      } else {
+        knock(block.get(), report.machine());
+        next = detour(grant.holder());
+      }
+    }
+    responder.respond(421, next.map(WorkerCodec::redirect).orElse("{}"));
+  }
+
+  /**
+   * A worker that is sent nowhere tries the next controller by itself. Where that is the very one
+   * that does not answer it, the one after is named: each attempt there costs a third of its lease.
+   */
+  private Optional<NodeId> detour(NodeId silent) {
+    List<NodeId> all = new ArrayList<>(peers.nodes());
+    all.add(self);
+    all.sort(Comparator.comparing(NodeId::value));
+    int own = all.indexOf(self);
+    if (!all.get((own + 1) % all.size()).equals(silent)) {
+      return Optional.empty();
     }
+    NodeId after = all.get((own + 2) % all.size());
+    return Optional.of(after)
+        .filter(node -> !node.equals(self) && peers.answersWorkers().test(node));
+  }
+
+  /** The leader hears of machines whose holder does not answer them; several share a message. */
+  private void knock(BlockId block, MachineId machine) {
+    if (knocked.isEmpty()) {
+      loop.after(KNOCKS, this::sendKnocks);
+    }
+    knocked.computeIfAbsent(block, key -> new TreeSet<>()).add(machine);
+  }
+
+  private void sendKnocks() {
+    knocked.forEach(
+        (block, machines) -> {
+          GrantRecord grant = view.grants().get(block);
+          if (grant != null) {
+            toLeader.accept(
+                new Knock(
+                    block.value(),
+                    grant.revision().value(),
+                    machines.stream().map(MachineId::value).toList()));
+          }
+        });
+    knocked.clear();
   }
 }
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/HolderFitness.java
@@ -0,0 +1,75 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.transport.SteadyTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which controllers can hold blocks. One that is cut off from its workers alone looks well to its
+ * peers and to the state service. It says itself that its machines have stopped reporting, and the
+ * machines knock at others: both together show that it is the controller, not a zone or the
+ * machines. It gets no blocks for a while, each time for longer.
+ */
+final class HolderFitness {
+  private static final Logger LOG = LoggerFactory.getLogger(HolderFitness.class);
+  private static final Duration RECENT = Duration.ofSeconds(5);
+  private static final Duration FIRST = Duration.ofSeconds(20);
+  private static final Duration FORGIVEN = Duration.ofSeconds(180);
+  private static final int MOST_DOUBLINGS = 3;
+  private static final int ENOUGH_KNOCKS = 2;
+
+  private static final class Strikes {
+    private int count;
+    private SteadyTime lastAt;
+    private SteadyTime until;
+  }
+
+  private final Predicate<NodeId> workersSilent;
+  private final Map<NodeId, Strikes> strikes = new HashMap<>();
+
+  HolderFitness(Predicate<NodeId> workersSilent) {
+    this.workersSilent = workersSilent;
+  }
+
+  /** The controllers that can not hold blocks now. */
+  Set<NodeId> unfit(Collection<LeaderBlock> blocks, SteadyTime now) {
+    Map<NodeId, Integer> knocks = new HashMap<>();
+    for (LeaderBlock block : blocks) {
+      block.holder().ifPresent(node -> knocks.merge(node, block.knocks(RECENT, now), Integer::sum));
+    }
+    knocks.forEach(
+        (node, count) -> {
+          if (count >= ENOUGH_KNOCKS && workersSilent.test(node)) {
+            strike(node, now);
+          }
+        });
+    Set<NodeId> unfit = new HashSet<>();
+    strikes.forEach(
+        (node, known) -> {
+          if (known.until.isAfter(now)) {
+            unfit.add(node);
+          }
+        });
+    return unfit;
+  }
+
+  private void strike(NodeId node, SteadyTime now) {
+    Strikes known = strikes.computeIfAbsent(node, key -> new Strikes());
+    if (known.count > 0 && known.until.isAfter(now)) {
+      return;
+    }
+    boolean forgiven = known.count > 0 && now.since(known.lastAt).compareTo(FORGIVEN) > 0;
+    known.count = forgiven ? 1 : known.count + 1;
+    known.lastAt = now;
+    known.until = now.plus(FIRST.multipliedBy(1L << Math.min(known.count - 1, MOST_DOUBLINGS)));
+    LOG.info("{} cannot reach its workers: its blocks go to others", node);
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -13,6 +13,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.mulleinshift.bookkeeping.ControlView;
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
@@ -37,6 +38,7 @@
 import org.mulleinshift.protocol.peer.BlockReport;
 import org.mulleinshift.protocol.peer.JobCount;
 import org.mulleinshift.protocol.peer.JobDigest;
+import org.mulleinshift.protocol.peer.Knock;
 import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
 import org.mulleinshift.protocol.peer.TaskReport;
@@ -78,6 +80,7 @@
       Catalog catalog,
       RunTimes runTimes,
       Function<NodeId, Duration> peerSilence,
+      Predicate<NodeId> workersSilent,
       BiConsumer<NodeId, Object> send,
       BooleanSupplier certain,
       Runnable resign) {}
@@ -98,7 +101,7 @@
   private final Preemption preemption;
   private final Optional<Double> guaranteeWithin;
   private final BlockSharing sharing;
-  private final SteadyTime startedAt;
+  private final HolderFitness fitness;
   private final List<JobRecord> early = new ArrayList<>();
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
@@ -113,8 +116,7 @@
     this.around = around;
     this.loop = around.loop();
     this.term = term;
-    this.startedAt = loop.now();
-    this.lastCycle = startedAt;
+    this.lastCycle = loop.now();
     this.journal =
         new LeaderJournal(
             loop,
@@ -147,6 +149,7 @@
             .map(PlatformSettings.Objective::withinSeconds)
             .findFirst();
     this.fleet = new Fleet(this, around, cloud, term);
+    this.fitness = new HolderFitness(around.workersSilent());
     this.sharing =
         new BlockSharing(around.self(), zonesOf(around.self(), around.settings()), loop.now());
   }
@@ -512,16 +515,24 @@
     }
   }
 
-  /** A controller that is silent for long, or has no session, holds nothing. */
+  void onKnock(Knock knock) {
+    LeaderBlock block = blocks.get(new BlockId(knock.getBlock()));
+    boolean current =
+        block != null
+            && block.grant().filter(g -> g.revision().value() == knock.getGrant()).isPresent();
+    if (state == State.LEADING && current) {
+      knock.getMachines().forEach(machine -> block.knocked(new MachineId(machine), loop.now()));
+    }
+  }
+
+  /** A controller that is silent for long, or has no session or no workers, holds nothing. */
   private void assignBlocks() {
-    List<NodeId> live = new ArrayList<>();
     Duration limit = around.tunables().seconds(Tunables.Key.PEER_SILENT_S);
-    boolean early = loop.now().since(startedAt).compareTo(limit) < 0;
-    for (NodeId node : around.view().nodes().keySet()) {
-      boolean silent = !early && around.peerSilence().apply(node).compareTo(limit) > 0;
-      if (node.equals(around.self()) || !silent) {
-        live.add(node);
-      }
+    List<NodeId> live = new ArrayList<>(around.view().nodes().keySet());
+    live.removeIf(node -> around.peerSilence().apply(node).compareTo(limit) > 0);
+    Set<NodeId> unfit = fitness.unfit(blocks.values(), loop.now());
+    if (!unfit.containsAll(live)) {
+      live.removeAll(unfit);
     }
     for (BlockSharing.Move move :
         sharing.moves(blocks.values(), live, limit.multipliedBy(2), loop.now())) {
--- a/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
+++ b/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
@@ -49,6 +49,7 @@
   private long sentVersion;
   private long base;
   private boolean dirty = true;
+  private final Map<MachineId, SteadyTime> knocks = new HashMap<>();
 
   LeaderBlock(BlockId id, ZoneId zone, SteadyTime now) {
     this.id = id;
@@ -67,6 +68,7 @@
       lastSequence = 0;
       seenSequence = 0;
       reports.clear();
+      knocks.clear();
       // A new holder is sent the full set, under a higher version.
       confirmedVersion = 0;
       changes.clear();
@@ -198,6 +200,19 @@
     return now.since(heardAt);
   }
 
+  /** A machine reported elsewhere, since its holder does not answer it. */
+  void knocked(MachineId machine, SteadyTime now) {
+    if (machines.containsKey(machine)) {
+      knocks.put(machine, now);
+    }
+  }
+
+  /** How many machines knocked elsewhere within that time. */
+  int knocks(Duration within, SteadyTime now) {
+    knocks.values().removeIf(at -> now.since(at).compareTo(within) > 0);
+    return knocks.size();
+  }
+
   BlockId id() {
     return id;
   }
--- a/src/main/java/org/mulleinshift/transport/EventLoop.java
+++ b/src/main/java/org/mulleinshift/transport/EventLoop.java
@@ -1,6 +1,7 @@
 package org.mulleinshift.transport;
 
 import java.time.Duration;
+import java.util.function.Consumer;
 
 /** The one thread that owns all mutable state, its clocks and its timers. */
 public interface EventLoop {
@@ -18,6 +19,12 @@
   /** A random number from 0 to 1, for spacing retries. */
   double random();
 
+  /**
+   * Calls the listener before anything else once the process has stood still for seconds while the
+   * clocks ran on.
+   */
+  void onStandstill(Consumer<Duration> listener);
+
   /** A timer that can be called off. */
   interface Timer {
     void cancel();
--- a/src/main/java/org/mulleinshift/transport/ThreadEventLoop.java
+++ b/src/main/java/org/mulleinshift/transport/ThreadEventLoop.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,6 +16,7 @@
 public final class ThreadEventLoop implements EventLoop {
   private static final long LONGEST_MICROS = 60_000_000;
   private static final long DESCRIBE_NANOS = 60_000_000_000L;
+  private static final Duration STANDSTILL = Duration.ofSeconds(2);
   private static final Logger LOG = LoggerFactory.getLogger(ThreadEventLoop.class);
 
   private final LinkedBlockingQueue<Runnable> queue = new LinkedBlockingQueue<>();
@@ -23,6 +25,7 @@
   private final Histogram turns = new Histogram(LONGEST_MICROS, 2);
   private long describedAt = System.nanoTime();
   private long sequence;
+  private Consumer<Duration> onStandstill = gap -> {};
 
   @Override
   public void post(Runnable step) {
@@ -36,6 +39,11 @@
     return pending;
   }
 
+  @Override
+  public void onStandstill(Consumer<Duration> listener) {
+    onStandstill = listener;
+  }
+
   @Override
   public SteadyTime now() {
     return new SteadyTime(System.nanoTime());
@@ -54,7 +62,9 @@
   /** Runs until the process ends. */
   public void run() throws InterruptedException {
     List<Runnable> batch = new ArrayList<>();
+    SteadyTime turnedAt = now();
     while (true) {
+      turnedAt = noticeStandstill(turnedAt);
       runDueTimers();
       Runnable first = awaitStep();
       if (first != null) {
@@ -66,6 +76,16 @@
     }
   }
 
+  /** There are timers all the time, so a turn never takes this long unless the process stood. */
+  private SteadyTime noticeStandstill(SteadyTime turnedAt) {
+    SteadyTime now = now();
+    Duration gap = now.since(turnedAt);
+    if (gap.compareTo(STANDSTILL) > 0) {
+      runGuarded(() -> onStandstill.accept(gap));
+    }
+    return now;
+  }
+
   private Runnable awaitStep() throws InterruptedException {
     Pending next = timers.peek();
     if (next == null) {
--- a/src/test/java/org/mulleinshift/sim/SimNode.java
+++ b/src/test/java/org/mulleinshift/sim/SimNode.java
@@ -31,6 +31,8 @@
   private Controller controller;
   private int life;
   private double stalledUntil;
+  private double stalledFor;
+  private Consumer<Duration> onStandstill = gap -> {};
 
   SimNode(
       World world, PlatformSettings settings, Tunables tunables, Outside outside, double drift) {
@@ -94,6 +96,7 @@
   /** The process gets no processor for a while: everything happens late. */
   void stall(double seconds) {
     stalledUntil = world.seconds() + seconds;
+    stalledFor = seconds;
   }
 
   void onFrame(byte[] frame) {
@@ -134,6 +137,11 @@
     if (world.seconds() < stalledUntil) {
       world.after(stalledUntil - world.seconds() + 1e-6, () -> run(mine, step));
     } else {
+      if (stalledFor > 0) {
+        Duration gap = Duration.ofMillis((long) (stalledFor * 1000));
+        stalledFor = 0;
+        onStandstill.accept(gap);
+      }
       step.run();
     }
   }
@@ -166,6 +174,11 @@
       return () -> cancelled[0] = true;
     }
 
+    @Override
+    public void onStandstill(Consumer<Duration> listener) {
+      onStandstill = listener;
+    }
+
     @Override
     public SteadyTime now() {
       return new SteadyTime((long) (world.nanos() * (1 + drift)));
