Boot times are remembered by their median; machines that are late together are waited for

Cause, found by reading and by scenarios: a moving mean of boots that came up within a second made every ordinary one overdue, which was rented again with each walk; boots late by a factor were given up at three times the listed time and rented again in circles; when none came up, all of them were paid for again and again. Ruled out: the cloud's list (ages come from our own rentals). Change: BootTimes. Expected is the median of the latest 12 boots, never under 0.6 of the listed time; a machine overtaken by a younger one that is up is late (no room), one that is not overtaken is doubtful: it counts as room, is kept up to eight times the listed time, only a probe is rented each boot time, and nothing is drained.

--- a/src/main/java/org/mulleinshift/bookkeeping/Machine.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Machine.java
@@ -118,6 +118,10 @@
     return state == State.DRAINING || state == State.RETURNING;
   }
 
+  public SteadyTime rentedAt() {
+    return rentedAt;
+  }
+
   public double heldSeconds(SteadyTime now) {
     return now.secondsSince(rentedAt);
   }
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/BootTimes.java
@@ -0,0 +1,97 @@
+package org.mulleinshift.coordination;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.mulleinshift.protocol.MachineType;
+import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.transport.SteadyTime;
+
+/**
+ * The measured boot times, and what can be expected of a machine on its way. At times machines come
+ * up at once, late, or not at all: neither a lucky run nor a bad one decides for the rest of the
+ * day.
+ */
+final class BootTimes {
+  private static final int REMEMBERED = 12;
+
+  /** Boots are usually between this share of the listed time and the next one. */
+  private static final double LEAST_SHARE = 0.6;
+
+  private static final double ORDINARY_SHARE = 1.5;
+  private static final double EXCUSED_FACTOR = 8;
+  private static final double GRACE_SECONDS = 10;
+
+  /** What can be expected of a machine that is not up. */
+  enum Outlook {
+    ON_TIME,
+    /** Late, but so is every machine of its type rented since: it may still come. */
+    DOUBTFUL,
+    /** Late, while younger ones are up: no room to count on. */
+    LATE,
+    /** Not worth waiting for. */
+    HOPELESS
+  }
+
+  private static final class Seen {
+    private final Deque<Double> seconds = new ArrayDeque<>();
+    private SteadyTime youngestUp;
+  }
+
+  private final double defaultSeconds;
+  private final double overdueFactor;
+  private final Map<MachineTypeId, Seen> types = new HashMap<>();
+
+  BootTimes(double defaultSeconds, double overdueFactor) {
+    this.defaultSeconds = defaultSeconds;
+    this.overdueFactor = overdueFactor;
+  }
+
+  /** A machine came up; how long that took is known only if its rental was seen. */
+  void cameUp(MachineTypeId type, SteadyTime rentedAt, Optional<Double> took) {
+    Seen seen = types.computeIfAbsent(type, key -> new Seen());
+    if (seen.youngestUp == null || rentedAt.isAfter(seen.youngestUp)) {
+      seen.youngestUp = rentedAt;
+    }
+    took.ifPresent(
+        seconds -> {
+          seen.seconds.addLast(seconds);
+          if (seen.seconds.size() > REMEMBERED) {
+            seen.seconds.removeFirst();
+          }
+        });
+  }
+
+  private double listed(MachineType type) {
+    double seconds = type.boot().toMillis() / 1000.0;
+    return seconds > 0 ? seconds : defaultSeconds;
+  }
+
+  /** The median of the latest boots, and never a small part of the listed time. */
+  double expected(MachineType type) {
+    Seen seen = types.get(type.id());
+    if (seen == null || seen.seconds.isEmpty()) {
+      return listed(type);
+    }
+    double[] sorted = seen.seconds.stream().mapToDouble(Double::doubleValue).sorted().toArray();
+    return Math.max(LEAST_SHARE * listed(type), sorted[sorted.length / 2]);
+  }
+
+  Outlook outlook(MachineType type, SteadyTime rentedAt, SteadyTime now) {
+    double age = now.secondsSince(rentedAt);
+    double ordinary = Math.max(expected(type), listed(type));
+    if (age <= ORDINARY_SHARE * ordinary) {
+      return Outlook.ON_TIME;
+    }
+    Seen seen = types.get(type.id());
+    boolean overtaken =
+        seen != null && seen.youngestUp != null && seen.youngestUp.isAfter(rentedAt);
+    double factor = overtaken ? overdueFactor : Math.max(overdueFactor, EXCUSED_FACTOR);
+    if (age > GRACE_SECONDS + factor * ordinary) {
+      return Outlook.HOPELESS;
+    }
+    return overtaken ? Outlook.LATE : Outlook.DOUBTFUL;
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -55,6 +55,8 @@
   private static final int MACHINE_BYTES = 128;
   private static final int DRAINED_OF = 24;
   private static final int MOST_TRIALS = 16;
+  private static final int DOUBTED_FROM = 2;
+  private static final int PROBE_OF = 10;
   private static final BlockId NO_BLOCK = new BlockId("-");
 
   /** The way to the cloud. */
@@ -71,7 +73,9 @@
   private final Map<MachineId, Machine> tracked = new HashMap<>();
   private final Map<String, Rental> rentals = new LinkedHashMap<>();
   private final Map<Offer, SteadyTime> refusedUntil = new HashMap<>();
-  private final Map<MachineTypeId, Double> bootSeconds = new HashMap<>();
+  private final BootTimes boots;
+  private final Map<MachineTypeId, Integer> doubtful = new HashMap<>();
+  private final Map<MachineTypeId, SteadyTime> probedAt = new HashMap<>();
   private final Set<MachineId> deleting = new LinkedHashSet<>();
   private final Set<MachineId> deleted = new LinkedHashSet<>();
   private Optional<SteadyTime> lastResize = Optional.empty();
@@ -84,6 +88,10 @@
     this.loop = around.loop();
     this.cloud = cloud;
     this.term = term;
+    this.boots =
+        new BootTimes(
+            around.tunables().number(Tunables.Key.BOOT_DEFAULT_S),
+            around.tunables().number(Tunables.Key.BOOT_OVERDUE_FACTOR));
   }
 
   /** A new leader asks again under the stored names: the same name never rents twice. */
@@ -143,10 +151,7 @@
     // Only a rental seen from its start tells a boot time. Machines that were up before, or
     // that an earlier leader rented, would seem to boot in no time: then there is no horizon
     // and no spacing, and every booting machine seems overdue.
-    known
-        .cameUp(loop.now())
-        .ifPresent(
-            boot -> bootSeconds.merge(record.type(), boot, (old, seen) -> old * 0.7 + seen * 0.3));
+    boots.cameUp(record.type(), known.rentedAt(), known.cameUp(loop.now()));
     LOG.info("{} is up after {} s", id, Math.round(known.heldSeconds(loop.now())));
     store(block);
   }
@@ -155,30 +160,21 @@
     leader.journal().submit(Keys.block(block.id()), new BlockUnit(block));
   }
 
-  private double bootExpected(MachineType type) {
-    double listed = type.boot().toMillis() / 1000.0;
-    double start = listed > 0 ? listed : around.tunables().number(Tunables.Key.BOOT_DEFAULT_S);
-    return bootSeconds.getOrDefault(type.id(), start);
-  }
-
-  /** A lucky run of quick boots does not make an ordinary one overdue. */
-  private double bootLongest(MachineType type) {
-    double ordinary = Math.max(bootExpected(type), type.boot().toMillis() / 1000.0);
-    return 10 + ordinary * around.tunables().number(Tunables.Key.BOOT_OVERDUE_FACTOR);
-  }
-
   /** Gives up machines that do not come up, are silent beyond their lease, or fail everything. */
   private void inspectMachines() {
+    doubtful.clear();
     for (LeaderBlock block : leader.blocks().values()) {
       for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
         MachineId id = entry.getKey();
         Machine known = track(id);
         Optional<MachineType> type = around.catalog().type(entry.getValue().type());
         Optional<MachineReport> report = block.reportOf(id);
-        boolean overdue =
-            !entry.getValue().up()
-                && type.isPresent()
-                && known.heldSeconds(loop.now()) > bootLongest(type.get());
+        Optional<BootTimes.Outlook> outlook =
+            type.filter(t -> !entry.getValue().up()).map(t -> outlook(t, known));
+        boolean overdue = outlook.equals(Optional.of(BootTimes.Outlook.HOPELESS));
+        if (outlook.equals(Optional.of(BootTimes.Outlook.DOUBTFUL))) {
+          doubtful.merge(entry.getValue().type(), 1, Integer::sum);
+        }
         if (leader.occupancy().busy(id, block.id())) {
           known.busy(loop.now());
         }
@@ -193,6 +189,10 @@
     }
   }
 
+  private BootTimes.Outlook outlook(MachineType type, Machine machine) {
+    return boots.outlook(type, machine.rentedAt(), loop.now());
+  }
+
   private void giveUp(MachineId machine, String why) {
     if (track(machine).giveBack()) {
       deleting.add(machine);
@@ -279,6 +279,7 @@
     if (!shortage.isEmpty() && resizeAllowed(plan, horizon)) {
       rentFor(shortage);
     }
+    doubtful.keySet().forEach(this::probe);
     if (demand > 0) {
       reopen();
     } else {
@@ -332,7 +333,7 @@
   private double horizon() {
     double least = Double.MAX_VALUE;
     for (MachineType type : around.catalog().types().values()) {
-      least = Math.min(least, bootExpected(type));
+      least = Math.min(least, boots.expected(type));
     }
     return least;
   }
@@ -356,12 +357,15 @@
                   return;
                 }
                 Resources size = type.get().size();
-                double age = track(id).heldSeconds(loop.now());
-                double bootLeft = record.up() ? 0 : bootExpected(type.get()) - age;
-                if (bootLeft < -0.5 * bootExpected(type.get())) {
+                Machine known = track(id);
+                BootTimes.Outlook outlook = outlook(type.get(), known);
+                if (!record.up()
+                    && (outlook == BootTimes.Outlook.LATE
+                        || outlook == BootTimes.Outlook.HOPELESS)) {
                   // Overdue: it may never come, so it is no room.
                   return;
                 }
+                double bootLeft = boots.expected(type.get()) - known.heldSeconds(loop.now());
                 Room room =
                     Room.on(
                         block,
@@ -482,12 +486,38 @@
         left -= Placer.fill(group.need(), left, List.of(room));
       }
     }
+    wanted.keySet().removeIf(offer -> doubted(offer.type()));
     wanted.forEach(this::rentInParts);
     if (!wanted.isEmpty()) {
       lastResize = Optional.of(loop.now());
     }
   }
 
+  private boolean doubted(MachineTypeId type) {
+    return doubtful.getOrDefault(type, 0) >= DOUBTED_FROM;
+  }
+
+  /**
+   * While no machine of a type comes up any more, those on their way count as room, and only a few
+   * are rented, a boot time apart, to see whether that is over: more would be paid for in vain.
+   */
+  private void probe(MachineTypeId type) {
+    SteadyTime last = probedAt.get(type);
+    if (!doubted(type) || (last != null && loop.now().secondsSince(last) < horizon())) {
+      return;
+    }
+    for (Walk.Waiting group : waiting()) {
+      PlacementNeed need = group.need().onlyOn(List.of(type));
+      Optional<Offer> offer =
+          need.types().isEmpty() ? Optional.empty() : bestOffer(need, 1, Map.of());
+      if (offer.isPresent()) {
+        probedAt.put(type, loop.now());
+        rent(offer.get(), 1 + doubtful.get(type) / PROBE_OF);
+        return;
+      }
+    }
+  }
+
   private void rentInParts(Offer offer, int count) {
     for (int left = count; left > 0; left -= CloudCodec.MOST_RENTED) {
       rent(offer, Math.min(left, CloudCodec.MOST_RENTED));
@@ -703,6 +733,7 @@
                 || (!used.contains(id) && known.idleSeconds(loop.now()) >= idle);
         if (entry.getValue().up()
             && unused
+            && !doubted(entry.getValue().type())
             && known.state() != Machine.State.RETURNING
             && known.heldSeconds(loop.now()) >= held
             && !leader.occupancy().busy(id, block.id())) {
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -328,6 +328,7 @@
     switch (words[1]) {
       case "outage" -> cloud.outage(Double.parseDouble(words[2]));
       case "stuck" -> cloud.stuckBoots(Double.parseDouble(words[2]));
+      case "boots" -> cloud.bootFactor(Double.parseDouble(words[2]), Double.parseDouble(words[3]));
       case "capacity" -> {
         cloud.capacity(words[2], words[3], false, Integer.parseInt(words[4]));
         cloud.capacity(words[2], words[3], true, 0);
--- a/src/test/java/org/mulleinshift/sim/SimCloud.java
+++ b/src/test/java/org/mulleinshift/sim/SimCloud.java
@@ -56,6 +56,8 @@
   private final Map<String, HttpReply> answered = new HashMap<>();
   private double outageUntil;
   private double stuckUntil;
+  private double bootFactor = 1;
+  private double bootFactorUntil;
   private int refusals;
 
   SimCloud(World world, double lag, Function<Machine, SimWorker> starter) {
@@ -81,6 +83,17 @@
     stuckUntil = world.seconds() + seconds;
   }
 
+  /** Machines rented from now on come up so many times later, or sooner. */
+  void bootFactor(double factor, double seconds) {
+    bootFactor = factor;
+    bootFactorUntil = world.seconds() + seconds;
+  }
+
+  private double bootSeconds(Type type) {
+    double factor = world.seconds() < bootFactorUntil ? bootFactor : 1;
+    return factor * type.boot() * (0.7 + 0.6 * world.random());
+  }
+
   List<Machine> existing() {
     return machines.values().stream().filter(Machine::exists).toList();
   }
@@ -171,7 +184,7 @@
     ObjectNode node = json.createObjectNode();
     var hosts = node.putArray("hosts");
     for (int i = 0; i < count; i++) {
-      hosts.add(boot(type, zone, spot, type.boot() * (0.7 + 0.6 * world.random())).name);
+      hosts.add(boot(type, zone, spot, bootSeconds(type)).name);
     }
     HttpReply reply = new HttpReply(200, node.toString());
     answered.put(hire, reply);
