Polls share one proof of freshness; a batch never exceeds what the store lets through at once

Ruled out: processor (no cpu was charged), the write budget (9 writes a second), crashes (two of five, restarted). Change: a poll waits for the next proof that the view of active jobs is current: one request for all changes since its revision, spaced like the watches, shared by all who ask before it is sent. Only jobs that are not active are read.

--- a/src/main/java/org/mulleinshift/bookkeeping/PrefixView.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/PrefixView.java
@@ -1,11 +1,14 @@
 package org.mulleinshift.bookkeeping;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
@@ -38,6 +41,10 @@
   private final Duration spacing;
   private final Listener listener;
   private final Map<String, Revision> versions = new HashMap<>();
+  private List<Consumer<Boolean>> unproven = new ArrayList<>();
+  private SteadyTime provenAt;
+  private boolean proving;
+  private boolean complete;
   private State state = State.IDLE;
   private Revision revision = new Revision(0);
   private long round;
@@ -49,6 +56,7 @@
     this.prefix = prefix;
     this.spacing = spacing;
     this.listener = listener;
+    this.provenAt = loop.now().minus(spacing);
   }
 
   public void start() {
@@ -73,6 +81,54 @@
         });
   }
 
+  /**
+   * Calls back once every change up to this moment was told, or with false if that cannot be known
+   * now. A watch does not prove it, its news may be held back. Whoever asks before a proof is sent
+   * shares it, so that many questions cost one request.
+   */
+  public void prove(Consumer<Boolean> then) {
+    unproven.add(then);
+    proveSoon();
+  }
+
+  private void proveSoon() {
+    if (proving || unproven.isEmpty()) {
+      return;
+    }
+    proving = true;
+    Duration since = loop.now().since(provenAt);
+    loop.after(
+        since.compareTo(spacing) >= 0 ? Duration.ZERO : spacing.minus(since), this::sendProof);
+  }
+
+  private void sendProof() {
+    List<Consumer<Boolean>> asking = unproven;
+    unproven = new ArrayList<>();
+    provenAt = loop.now();
+    if (!complete) {
+      proven(asking, false);
+      return;
+    }
+    store.changes(
+        prefix,
+        revision,
+        answer -> {
+          boolean found =
+              state != State.READING
+                  && answer instanceof StateStore.Answer.Found<StateCodec.Changes>;
+          if (found) {
+            apply(((StateStore.Answer.Found<StateCodec.Changes>) answer).value());
+          }
+          proven(asking, found);
+        });
+  }
+
+  private void proven(List<Consumer<Boolean>> asking, boolean known) {
+    asking.forEach(then -> then.accept(known));
+    proving = false;
+    proveSoon();
+  }
+
   private long enter(State next) {
     state = next;
     return ++round;
@@ -107,6 +163,7 @@
       listener.changed(key, Optional.empty());
     }
     revision = range.revision();
+    complete = true;
     listener.settled(revision);
   }
 
@@ -151,8 +208,10 @@
 
   private void apply(StateCodec.Changes seen) {
     for (StateCodec.Change change : seen.changes()) {
-      Revision known = versions.get(change.key());
-      if (known != null && known.compareTo(change.version()) >= 0) {
+      // Answers to watches and proofs cross: what lies before our revision was told already, and a
+      // key that is gone since must not come back by it.
+      Revision known = versions.getOrDefault(change.key(), revision);
+      if (known.compareTo(change.version()) >= 0 || revision.compareTo(change.version()) >= 0) {
         continue;
       }
       if (change.value().isPresent()) {
--- a/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
@@ -28,6 +28,10 @@
 public final class StateStore {
   private static final Logger LOG = LoggerFactory.getLogger(StateStore.class);
   private static final Duration DEADLINE = Duration.ofSeconds(2);
+
+  /** Whoever asked waits for hardly longer. */
+  private static final Duration PROOF_DEADLINE = Duration.ofMillis(1500);
+
   private static final Duration WATCH = Duration.ofSeconds(8);
   private static final Duration WATCH_DEADLINE = Duration.ofSeconds(11);
 
@@ -206,6 +210,15 @@
         then);
   }
 
+  /** All changes up to now, without waiting for any. */
+  public void changes(String prefix, Revision from, Consumer<Answer<StateCodec.Changes>> then) {
+    call(
+        HttpRequest.get(StateCodec.watchPath(prefix, from, Duration.ZERO), PROOF_DEADLINE),
+        Urgency.NORMAL,
+        StateCodec::parseChanges,
+        then);
+  }
+
   public void watch(String prefix, Revision from, Consumer<Answer<StateCodec.Changes>> then) {
     requests.force(1);
     watches.call(
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -149,6 +149,7 @@
             catalog,
             cluster,
             tunables.count(Tunables.Key.RETRY_AFTER_S),
+            jobs::prove,
             this::onCancelled);
     this.cloud =
         new Fleet.Cloud(
@@ -405,18 +406,21 @@
   private final class JobListener implements PrefixView.Listener {
     @Override
     public void changed(String key, Optional<Item> item) {
+      JobId id = new JobId(key.substring(Keys.ACTIVE.length()));
       if (item.isEmpty()) {
-        cancelled.remove(new JobId(key.substring(Keys.ACTIVE.length())));
+        cancelled.remove(id);
+        frontend.onNoLongerActive(id);
         return;
       }
-      JobRecord.read(item.get())
-          .ifPresent(
-              record -> {
-                if (record.cancelled()) {
-                  onCancelled(record.id());
-                }
-                leader.ifPresent(term -> term.onJob(record));
-              });
+      Optional<JobRecord> read = JobRecord.read(item.get());
+      frontend.onActive(id, read);
+      read.ifPresent(
+          record -> {
+            if (record.cancelled()) {
+              onCancelled(record.id());
+            }
+            leader.ifPresent(term -> term.onJob(record));
+          });
     }
 
     @Override
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -1,5 +1,6 @@
 package org.mulleinshift.coordination;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,6 +65,8 @@
           return size() > REMEMBERED_ENDS;
         }
       };
+  private final Map<JobId, Standing> active = new HashMap<>();
+  private final Consumer<Consumer<Boolean>> prover;
   private Map<String, JobCount> counts = Map.of();
 
   Frontend(
@@ -72,12 +75,14 @@
       Catalog catalog,
       PlatformSettings.Cluster cluster,
       int retryAfter,
+      Consumer<Consumer<Boolean>> prover,
       Consumer<JobId> onCancelled) {
     this.loop = loop;
     this.store = store;
     this.catalog = catalog;
     this.valueBytes = cluster.state().valueBytes();
     this.retryAfter = retryAfter;
+    this.prover = prover;
     this.onCancelled = onCancelled;
     cluster.teams().forEach(team -> teams.put(team.name(), team));
   }
@@ -88,6 +93,15 @@
     counts = next;
   }
 
+  /** An active job as the view of them shows it; without a record it cannot be read. */
+  void onActive(JobId id, Optional<JobRecord> record) {
+    active.put(id, record.<Standing>map(Standing.Active::new).orElse(new Standing.Unknown()));
+  }
+
+  void onNoLongerActive(JobId id) {
+    active.remove(id);
+  }
+
   void submit(String body, Responder responder) {
     JobSpec spec;
     try {
@@ -187,17 +201,33 @@
       responder.respond(404, JobCodec.error("no such job"));
       return;
     }
-    lookUp(
-        id,
-        standing -> {
-          if (standing instanceof Standing.Never) {
-            responder.respond(404, JobCodec.error("no such job"));
+    JobPhase known = ended.get(id);
+    if (known != null) {
+      respond(id, 200, known, responder);
+      return;
+    }
+    // Polls share the proof that the view of active jobs is as fresh as they are: one read for each
+    // would leave no room for acceptance at the state service's rate.
+    prover.accept(
+        proven -> {
+          if (!proven) {
+            unavailable(responder);
+          } else if (active.containsKey(id)) {
+            answer(id, active.get(id), responder);
           } else {
-            answer(id, standing, responder);
+            lookUpEnded(id, standing -> answerPoll(id, standing, responder));
           }
         });
   }
 
+  private void answerPoll(JobId id, Standing standing, Responder responder) {
+    if (standing instanceof Standing.Never) {
+      responder.respond(404, JobCodec.error("no such job"));
+    } else {
+      answer(id, standing, responder);
+    }
+  }
+
   void withdraw(JobId id, Responder responder) {
     if (!JobCodec.isJobId(id.value())) {
       responder.respond(404, JobCodec.error("no such job"));
@@ -216,10 +246,8 @@
         standing -> {
           if (standing instanceof Standing.Active active && !active.job().cancelled()) {
             cancel(active.job(), tries, responder);
-          } else if (standing instanceof Standing.Never) {
-            responder.respond(404, JobCodec.error("no such job"));
           } else {
-            answer(id, standing, responder);
+            answerPoll(id, standing, responder);
           }
         });
   }
@@ -269,20 +297,16 @@
   }
 
   private void lookUpEnded(JobId id, Consumer<Standing> then) {
-    store.get(
-        Keys.ended(id),
-        StateStore.Urgency.NORMAL,
-        answer -> {
-          if (answer instanceof Answer.Found<Item> found) {
-            JobPhase phase = JobRecord.endedPhase(found.value());
-            ended.put(id, phase);
-            then.accept(new Standing.Ended(phase));
-          } else if (answer instanceof Answer.Absent<Item>) {
-            then.accept(new Standing.Never());
-          } else {
-            then.accept(new Standing.Unknown());
-          }
-        });
+    store.get(Keys.ended(id), StateStore.Urgency.NORMAL, answer -> then.accept(endOf(id, answer)));
+  }
+
+  private Standing endOf(JobId id, Answer<Item> answer) {
+    if (answer instanceof Answer.Found<Item> found) {
+      JobPhase phase = JobRecord.endedPhase(found.value());
+      ended.put(id, phase);
+      return new Standing.Ended(phase);
+    }
+    return answer instanceof Answer.Absent<Item> ? new Standing.Never() : new Standing.Unknown();
   }
 
   private void answer(JobId id, Standing standing, Responder responder) {
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -62,6 +62,9 @@
   private static final int ATTEMPT_BITS = 20;
   private static final int CYCLE_SHARE = 4;
 
+  /** What ends a job is stored as one. */
+  private static final int LEAST_BATCH = 3;
+
   /** States of a term. */
   enum State {
     LOADING,
@@ -122,7 +125,7 @@
             loop,
             around.store(),
             term,
-            around.settings().cluster().state().txnOps(),
+            batch(around.settings().cluster().state()),
             around.resign());
     this.quota = new Quota(around.settings().cluster().teams());
     this.freeRoom = new FreeRoom(this, around.catalog());
@@ -154,6 +157,12 @@
         new BlockSharing(around.self(), zonesOf(around.self(), around.settings()), loop.now());
   }
 
+  /** A batch above what the service lets through at once would be refused for ever. */
+  private static int batch(PlatformSettings.State limits) {
+    int burst = (int) (limits.writesPerSecond() / 2);
+    return Math.min(limits.txnOps(), Math.max(LEAST_BATCH, burst));
+  }
+
   /** The only place where the state changes. */
   private void moveTo(State next) {
     LOG.info("term {}: {} -> {}", term, state, next);
--- a/src/test/java/org/mulleinshift/sim/RuleBook.java
+++ b/src/test/java/org/mulleinshift/sim/RuleBook.java
@@ -20,6 +20,7 @@
     boolean accepted;
     boolean cancelAsked;
     Double cancelledAt;
+    Double acceptedAt;
     String told = "";
     Double toldDoneAt;
     Double firstStartAt;
@@ -66,6 +67,21 @@
     return jobs.get(id);
   }
 
+  /** The share of jobs of the prefix that were accepted within the time. */
+  double acceptedWithin(String prefix, double seconds) {
+    List<TrueJob> asked = jobs.values().stream().filter(job -> job.id.startsWith(prefix)).toList();
+    long inTime =
+        asked.stream()
+            .filter(job -> job.acceptedAt != null && job.acceptedAt - job.submittedAt <= seconds)
+            .count();
+    return inTime / (double) asked.size();
+  }
+
+  double doneShare(String prefix) {
+    List<TrueJob> asked = jobs.values().stream().filter(job -> job.id.startsWith(prefix)).toList();
+    return asked.stream().filter(job -> job.toldDoneAt != null).count() / (double) asked.size();
+  }
+
   List<String> broken() {
     return broken;
   }
@@ -188,6 +204,9 @@
       return;
     }
     job.accepted = true;
+    if (job.acceptedAt == null) {
+      job.acceptedAt = world.seconds();
+    }
     boolean wasOver = job.told.equals("done") || job.told.equals("cancelled");
     if (wasOver && !phase.equals(job.told)) {
       violated("went_back", id + " from " + job.told + " to " + phase);
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -56,7 +56,7 @@
     }
     world = new World(seed);
     network = new Network(world);
-    state = new SimState(world, 8192, 12);
+    state = new SimState(world, 8192, 12, stateRate, stateWrites);
     rules = new RuleBook(world, teamLimits, cancelSeconds);
     cloud = new SimCloud(world, 4, this::startWorker);
     for (String[] words : actions) {
@@ -220,6 +220,8 @@
   private void act(String[] words) {
     switch (words[0]) {
       case "job" -> submit(words);
+      case "swarm" -> swarm(words);
+      case "polls" -> pollStorm(Double.parseDouble(words[1]), Double.parseDouble(words[2]));
       case "resubmit" -> resubmit(words);
       case "cancel" -> users.get(words[1]).cancel();
       case "poll" -> users.computeIfAbsent(words[1], this::stranger);
@@ -270,8 +272,28 @@
         });
   }
 
+  /** {@code swarm run-5 200 0.16 tasks=1}: jobs run-50000 to run-50199, one each 0.16 s. */
+  private void swarm(String[] words) {
+    int count = Integer.parseInt(words[2]);
+    double every = Double.parseDouble(words[3]);
+    Map<String, String> fields = fields(words, 4);
+    for (int i = 0; i < count; i++) {
+      String id = words[1] + String.format("%04d", i);
+      world.after(every * i, () -> submit(id, fields));
+    }
+  }
+
+  private void pollStorm(double factor, double seconds) {
+    users.values().forEach(user -> user.pollFactor(factor));
+    world.after(seconds, () -> users.values().forEach(user -> user.pollFactor(1)));
+  }
+
   private void submit(String[] words) {
-    RuleBook.TrueJob job = new RuleBook.TrueJob(words[1], fields(words, 2));
+    submit(words[1], fields(words, 2));
+  }
+
+  private void submit(String id, Map<String, String> fields) {
+    RuleBook.TrueJob job = new RuleBook.TrueJob(id, fields);
     rules.add(job);
     SimUser user = new SimUser(world, rules, this::send, job);
     users.put(job.id, user);
@@ -420,6 +442,9 @@
           failures.add(line + ": " + held);
         }
       }
+      case "refused" -> atMost(line, state.refused(), Double.parseDouble(words[2]));
+      case "accepted" -> atLeast(line, rules.acceptedWithin(words[2], limit), 0.97);
+      case "all-done" -> atLeast(line, rules.doneShare(words[2]), 1);
       case "writes" -> atMost(line, state.writes(), Double.parseDouble(words[2]));
       case "keys" ->
           atMost(
@@ -430,6 +455,12 @@
     }
   }
 
+  private void atLeast(String line, double value, double limit) {
+    if (value < limit) {
+      failures.add(line + ": " + value);
+    }
+  }
+
   private void atMost(String line, double value, double limit) {
     if (value > limit) {
       failures.add(line + ": " + value);
--- a/src/test/java/org/mulleinshift/sim/SimState.java
+++ b/src/test/java/org/mulleinshift/sim/SimState.java
@@ -50,10 +50,38 @@
   private long epoch;
   private long nextHold = 1;
   private long forgottenChanges;
+  private final Bucket requestBudget;
+  private final Bucket writeBudget;
   private int writes;
+  private int refused;
 
-  SimState(World world, int valueBytes, int txnOps) {
+  /** A rate with one second's worth of burst. */
+  private final class Bucket {
+    private final double rate;
+    private double tokens;
+    private double filledAt;
+
+    Bucket(double rate) {
+      this.rate = rate;
+      this.tokens = rate;
+    }
+
+    boolean take(double amount) {
+      tokens = Math.min(rate, tokens + rate * (world.seconds() - filledAt));
+      filledAt = world.seconds();
+      if (tokens < amount) {
+        refused++;
+        return false;
+      }
+      tokens -= amount;
+      return true;
+    }
+  }
+
+  SimState(World world, int valueBytes, int txnOps, double rate, double writeRate) {
     this.world = world;
+    this.requestBudget = new Bucket(rate);
+    this.writeBudget = new Bucket(writeRate);
     this.valueBytes = valueBytes;
     this.txnOps = txnOps;
     world.after(0.05, this::expire);
@@ -84,6 +112,11 @@
     return writes;
   }
 
+  /** Requests above the rates. */
+  int refused() {
+    return refused;
+  }
+
   Map<String, JsonNode> dump() {
     Map<String, JsonNode> copy = new LinkedHashMap<>();
     keys.forEach((key, entry) -> copy.put(key, entry.value()));
@@ -99,6 +132,10 @@
       reply.accept(new HttpReply(503, "{}"));
       return;
     }
+    if (!requestBudget.take(1)) {
+      reply.accept(new HttpReply(429, "{}"));
+      return;
+    }
     if (request.path().startsWith("/changes")) {
       watch(node, request.path(), reply);
       return;
@@ -200,6 +237,9 @@
         return new HttpReply(400, "{\"error\":\"no such lease\"}");
       }
     }
+    if (!writeBudget.take(wanted.size())) {
+      return new HttpReply(429, "{}");
+    }
     for (JsonNode guard : body.path("guards")) {
       Entry entry = keys.get(guard.path("k").asText());
       if ((entry == null ? 0 : entry.stamp()) != guard.path("stamp").asLong()) {
--- a/src/test/java/org/mulleinshift/sim/SimUser.java
+++ b/src/test/java/org/mulleinshift/sim/SimUser.java
@@ -26,6 +26,7 @@
   private final ObjectMapper json = new ObjectMapper();
   private final List<Integer> statuses = new ArrayList<>();
   private boolean polling;
+  private double pollSeconds = POLL_SECONDS;
 
   SimUser(World world, RuleBook rules, Nodes nodes, RuleBook.TrueJob job) {
     this.world = world;
@@ -88,6 +89,11 @@
         });
   }
 
+  /** Asks so many times as often. */
+  void pollFactor(double factor) {
+    pollSeconds = POLL_SECONDS / factor;
+  }
+
   void cancel() {
     job.cancelAsked = true;
     attempt("POST", "/v2/runs/" + job.id + "/withdraw", "", world.seconds());
@@ -138,7 +144,7 @@
 
   private void poll() {
     // Polls go on after the end: the final state must be kept.
-    world.after(POLL_SECONDS, this::poll);
+    world.after(pollSeconds, this::poll);
     nodes.request("GET", "/v2/runs/" + job.id, "", this::hear);
   }
 
