Idle machines drain while tasks wait for a type that they do not fit

Ruled out: the 60 s least time (they were held for minutes), headroom (it fitted). Change: only types that some waiting task could use are reopened and left alone.

--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -280,11 +280,9 @@
       rentFor(shortage);
     }
     doubtful.keySet().forEach(this::probe);
-    if (demand > 0) {
-      reopen();
-    } else {
-      consolidate();
-    }
+    Set<MachineTypeId> wanted = typesFor(waiting);
+    reopen(wanted);
+    consolidate(wanted);
     drain(plan.result().used());
   }
 
@@ -308,7 +306,7 @@
     for (Walk.Waiting group : shortage) {
       if (bestOffer(group.need(), group.count(), Map.of()).isEmpty()) {
         for (MachineType type : around.catalog().types().values()) {
-          if (group.need().perTask().fitsInto(type.size()) && group.need().allowsType(type.id())) {
+          if (group.need().mayUse(type)) {
             scarce.add(type.id());
           }
         }
@@ -743,10 +741,25 @@
     }
   }
 
+  /** The types that waiting tasks could use. */
+  private Set<MachineTypeId> typesFor(List<Walk.Waiting> waiting) {
+    Set<MachineTypeId> types = new HashSet<>();
+    for (Walk.Waiting group : waiting) {
+      around.catalog().types().values().stream()
+          .filter(type -> group.need().mayUse(type))
+          .forEach(type -> types.add(type.id()));
+    }
+    return types;
+  }
+
   /** Room ran short: machines that were to go stay. */
-  private void reopen() {
+  private void reopen(Set<MachineTypeId> wanted) {
     for (LeaderBlock block : leader.blocks().values()) {
-      for (MachineId id : block.machines().keySet()) {
+      for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
+        if (!wanted.contains(entry.getValue().type())) {
+          continue;
+        }
+        MachineId id = entry.getKey();
         Machine known = track(id);
         known.spare(false, loop.now());
         if (known.state() == Machine.State.DRAINING) {
@@ -760,9 +773,10 @@
 
   /**
    * The dearest machine whose tasks would fit into the room that the others have left takes no new
-   * tasks. Tasks end where they are; nothing is moved.
+   * tasks. Tasks end where they are; nothing is moved. Types that tasks wait for are left alone;
+   * tasks that only fit a large type, of which there are no more, do not keep the small ones up.
    */
-  private void consolidate() {
+  private void consolidate(Set<MachineTypeId> wanted) {
     double held = around.tunables().number(Tunables.Key.MINIMUM_HELD_S);
     double patience = around.tunables().number(Tunables.Key.SPARE_S);
     Map<MachineId, Room> rooms = new HashMap<>();
@@ -774,6 +788,7 @@
       }
     }
     List<Room> candidates = new ArrayList<>(rooms.values());
+    candidates.removeIf(room -> wanted.contains(room.type()));
     candidates.sort(
         Comparator.comparingDouble(Room::drainWeight)
             .reversed()
--- a/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
+++ b/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.mulleinshift.protocol.JobSpec;
+import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.MachineTypeId;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.ZoneId;
@@ -29,6 +30,11 @@
     return new PlacementNeed(perTask, image, left, zone, spotAllowed);
   }
 
+  /** A task fits an empty machine of the type, and may be on it. */
+  boolean mayUse(MachineType type) {
+    return perTask.fitsInto(type.size()) && allowsType(type.id());
+  }
+
   boolean allowsType(MachineTypeId type) {
     return types.isEmpty() || types.contains(type);
   }
