--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -619,28 +619,11 @@
       }
     }
     keepHeadroom(rooms);
-    List<Job> others =
-        order.stream()
-            .filter(job -> job.state() == Job.State.ACTIVE && !headroom.protects(job.spec()))
-            .toList();
-    // A fetch costs a machine's time like a run. Unless a job's time is running out, room goes
-    // first
-    // to those whose image is there.
-    for (Job job : others) {
-      if (pressing(job)) {
+    for (Job job : order) {
+      if (job.state() == Job.State.ACTIVE && !headroom.protects(job.spec())) {
         delegate(job, rooms, inUse, attempt);
       }
     }
-    for (Job job : others) {
-      if (mayWaitAtHolder(job)) {
-        PlacementNeed need = PlacementNeed.of(job.spec());
-        List<Room> ready = rooms.stream().filter(room -> room.hasImage(need)).toList();
-        delegate(job, ready, inUse, attempt);
-      }
-    }
-    for (Job job : others) {
-      delegate(job, rooms, inUse, attempt);
-    }
     // After all room is given: what still waits may ask for more.
     preempt(order, inUse);
     delegateAhead(order, rooms, inUse, attempt);
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -105,12 +105,8 @@
     left += size.cpus() > 0 ? (free.cpus() - need.perTask().cpus()) : 0;
     left += size.gpus() > 0 ? 8 * (free.gpus() - need.perTask().gpus()) : 0;
     left += size.memoryGb() > 0 ? (free.memoryGb() - need.perTask().memoryGb()) / 16 : 0;
-    return left + (hasImage(need) ? 0 : IMAGE_WEIGHT);
-  }
-
-  /** The image is there, or on its way for another task. */
-  boolean hasImage(PlacementNeed need) {
-    return known.contains(need.image()) || coming.contains(need.image());
+    return left
+        + (known.contains(need.image()) || coming.contains(need.image()) ? 0 : IMAGE_WEIGHT);
   }
 
   /** A measure for choosing what to drain first. */
