A busy store delays an acceptance for a moment instead of refusing it; removals wait for idle writes

Each of four controllers may store 2.5 acceptances a second, users come in bursts, and who is refused comes back after 2 s. Ruled out: requests (few refused now), processor. Change: a submission that is surely not stored because the rate is used up is tried again within the node up to three times in 0.4 s, then answered with Retry-After; an outage is answered at once as before. No controller's share is below a fifth of the writes. What is left of an ended job is removed when nothing else is to be written.

--- a/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
@@ -54,6 +54,7 @@
   private final Runnable onLost;
   private final Map<String, Revision> versions = new HashMap<>();
   private final Map<String, Unit> dirty = new LinkedHashMap<>();
+  private final Map<String, Unit> idle = new LinkedHashMap<>();
   private State state = State.IDLE;
   private boolean flushPlanned;
 
@@ -87,6 +88,14 @@
     planFlush(Duration.ZERO);
   }
 
+  /** Asks for a unit to be stored when nothing else waits and the rate leaves room. */
+  public void submitIdle(String name, Unit unit) {
+    if (state != State.CLOSED) {
+      idle.put(name, unit);
+      planFlush(Duration.ZERO);
+    }
+  }
+
   public boolean pending(String name) {
     return dirty.containsKey(name);
   }
@@ -98,6 +107,7 @@
   public void close() {
     moveTo(State.CLOSED);
     dirty.clear();
+    idle.clear();
   }
 
   /** The only place where the journal's state changes; closed is final. */
@@ -126,12 +136,18 @@
   }
 
   private void flush() {
-    if (state != State.IDLE || dirty.isEmpty()) {
+    if (state != State.IDLE) {
       return;
     }
+    StateStore.Urgency urgency = StateStore.Urgency.NORMAL;
+    Map<String, Unit> source = dirty;
+    if (dirty.isEmpty()) {
+      urgency = StateStore.Urgency.LOW;
+      source = idle;
+    }
     Map<String, Unit> taken = new LinkedHashMap<>();
     List<Write> writes = new ArrayList<>();
-    Iterator<Map.Entry<String, Unit>> units = dirty.entrySet().iterator();
+    Iterator<Map.Entry<String, Unit>> units = source.entrySet().iterator();
     int bytes = 0;
     while (units.hasNext()) {
       Map.Entry<String, Unit> entry = units.next();
@@ -154,11 +170,9 @@
       return;
     }
     moveTo(State.COMMITTING);
+    Map<String, Unit> from = source;
     store.commit(
-        guards(writes),
-        writes,
-        StateStore.Urgency.NORMAL,
-        outcome -> finished(taken, writes, outcome));
+        guards(writes), writes, urgency, outcome -> finished(from, taken, writes, outcome));
   }
 
   private static int roughSize(Write write) {
@@ -176,7 +190,11 @@
     return guards;
   }
 
-  private void finished(Map<String, Unit> taken, List<Write> writes, StateStore.Outcome outcome) {
+  private void finished(
+      Map<String, Unit> from,
+      Map<String, Unit> taken,
+      List<Write> writes,
+      StateStore.Outcome outcome) {
     if (state == State.CLOSED) {
       return;
     }
@@ -194,11 +212,12 @@
       return;
     }
     // Units that were asked for anew meanwhile stay as they are: they are newer.
-    Map<String, Unit> newer = new LinkedHashMap<>(dirty);
-    dirty.clear();
-    dirty.putAll(taken);
-    dirty.putAll(newer);
-    if (outcome instanceof StateStore.Outcome.Refused) {
+    Map<String, Unit> newer = new LinkedHashMap<>(from);
+    from.clear();
+    from.putAll(taken);
+    from.putAll(newer);
+    if (outcome instanceof StateStore.Outcome.Refused
+        || outcome instanceof StateStore.Outcome.Busy) {
       moveTo(State.IDLE);
       planFlush(RETRY);
       return;
--- a/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
@@ -74,7 +74,11 @@
 
     record Unknown() implements Outcome {}
 
+    /** Certain: not carried out, and not soon. */
     record Refused() implements Outcome {}
+
+    /** Certain: not carried out, since the rate is used up for a moment. */
+    record Busy() implements Outcome {}
   }
 
   private interface Parser<T> {
@@ -156,7 +160,7 @@
     if (urgency == Urgency.URGENT) {
       writes.force(changes.size());
     } else if (!writes.take(changes.size(), reserve)) {
-      loop.post(() -> then.accept(new Outcome.Refused()));
+      loop.post(() -> then.accept(new Outcome.Busy()));
       return;
     }
     requests.force(1);
@@ -179,7 +183,9 @@
       case 400:
         LOG.info("transaction refused: {}", reply.body());
         return new Outcome.LeaseGone();
-      case 429, 503:
+      case 429:
+        return new Outcome.Busy();
+      case 503:
         return new Outcome.Refused();
       default:
         return new Outcome.Unknown();
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -48,6 +48,10 @@
   private static final Duration HEARTBEAT = Duration.ofSeconds(1);
   private static final double LEADER_WRITES = 0.75;
   private static final double OTHER_WRITES = 0.4;
+
+  /** Users come in bursts: a share of a few writes a second would refuse them all the time. */
+  private static final double LEAST_WRITES = 0.2;
+
   private static final double WATCH_SHARE = 0.25;
   private static final Duration STORE_LOST = Duration.ofSeconds(4);
   private static final Duration NOT_HEARD = Duration.ofMillis(2500);
@@ -162,7 +166,9 @@
   private double writeRate(boolean leading) {
     int others = Math.max(1, settings.cluster().size() - 1);
     double share =
-        leading || settings.cluster().size() == 1 ? LEADER_WRITES : OTHER_WRITES / others;
+        leading || settings.cluster().size() == 1
+            ? LEADER_WRITES
+            : Math.max(LEAST_WRITES, OTHER_WRITES / others);
     return settings.cluster().state().writesPerSecond() * share;
   }
 
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -1,5 +1,7 @@
 package org.mulleinshift.coordination;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,6 +39,8 @@
 final class Frontend {
   private static final int REMEMBERED_ENDS = 20_000;
   private static final int CANCEL_TRIES = 4;
+  private static final int ACCEPT_TRIES = 4;
+  private static final Duration BUSY_PAUSE = Duration.ofMillis(120);
 
   /** What is certain about a job. */
   private sealed interface Standing {
@@ -173,11 +177,15 @@
       respond(spec.id(), 200, known, responder);
       return;
     }
-    var value = JobRecord.value(spec, loop.wallMillis(), false);
+    JsonNode value = JobRecord.value(spec, loop.wallMillis(), false);
     if (value.toString().length() > valueBytes) {
       responder.respond(400, JobCodec.error("job too long"));
       return;
     }
+    accept(spec, value, ACCEPT_TRIES, responder);
+  }
+
+  private void accept(JobSpec spec, JsonNode value, int tries, Responder responder) {
     store.commit(
         List.of(
             new Guard(Keys.active(spec.id()), new Revision(0)),
@@ -189,6 +197,9 @@
             respond(spec.id(), 201, JobPhase.PENDING, responder);
           } else if (outcome instanceof Outcome.Conflict) {
             lookUp(spec.id(), standing -> answer(spec.id(), standing, responder));
+          } else if (outcome instanceof Outcome.Busy && tries > 1) {
+            // Surely not stored, and there may be room again in a moment.
+            loop.after(BUSY_PAUSE, () -> accept(spec, value, tries - 1, responder));
           } else {
             // Given up on at once; the same id makes the user's retry harmless.
             unavailable(responder);
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -872,9 +872,6 @@
       List<Write> writes = new ArrayList<>();
       writes.add(Write.delete(Keys.active(id)));
       writes.add(Write.put(Keys.ended(id), JobRecord.endedValue(job.endPhase())));
-      if (job.chunks() == 1 && journal.knows(Keys.progress(id, 0))) {
-        writes.add(Write.delete(Keys.progress(id, 0)));
-      }
       left = List.copyOf(job.delegations());
       return writes;
     }
@@ -893,7 +890,8 @@
       for (int chunk = 0; chunk < job.chunks(); chunk++) {
         String key = Keys.progress(id, chunk);
         if (journal.knows(key)) {
-          journal.submit(key, new DeleteUnit(key));
+          // Nobody reads it any more: it need not compete with what tasks wait for.
+          journal.submitIdle(key, new DeleteUnit(key));
         }
       }
       job.finishEnd();
