The leader knows which images its tasks fetch

Cause: the leader learns of an image when a task with it runs. During the 20 to 50 s of a fetch on the large type it sent the same job's next tasks to other machines, which fetched the same image again. Ruled out: image-first order (tried and reverted before). Change: a room has the images of the tasks on it.

--- a/src/main/java/org/mulleinshift/coordination/FreeRoom.java
+++ b/src/main/java/org/mulleinshift/coordination/FreeRoom.java
@@ -1,11 +1,14 @@
 package org.mulleinshift.coordination;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
 import org.mulleinshift.bookkeeping.Delegation;
+import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.MachineId;
@@ -72,12 +75,24 @@
                 record,
                 type,
                 type.size().minus(leader.occupancy().used(id)),
-                report.getImages()));
+                images(id, report)));
       }
     }
     return found;
   }
 
+  /** What the machine has, and what its tasks fetch: like tasks then share the fetch. */
+  private Set<String> images(MachineId machine, MachineReport report) {
+    Set<String> images = new HashSet<>(report.getImages());
+    for (Delegation delegation : leader.occupancy().on(machine)) {
+      Job job = leader.jobs().get(delegation.task().job());
+      if (job != null) {
+        images.add(job.spec().image());
+      }
+    }
+    return images;
+  }
+
   private boolean usable(MachineId machine, MachineReport report) {
     return report.getPhase().equals(MachinePhase.CONFIRMED.name())
         && !report.getRecalled()
