--- /dev/null
+++ b/src/test/java/org/mulleinshift/RandomScenarioTest.java
@@ -0,0 +1,32 @@
+package org.mulleinshift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.mulleinshift.settings.SettingsException;
+import org.mulleinshift.sim.RandomScenario;
+import org.mulleinshift.sim.Scenario;
+
+/**
+ * Plays drawn scenarios. {@code -Dseeds=100-199} plays others; a failure names its seed and shows
+ * its lines.
+ */
+final class RandomScenarioTest {
+  private static final String FIXED = "1-24";
+
+  static LongStream seeds() {
+    String[] ends = System.getProperty("seeds", FIXED).split("-");
+    return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]));
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @MethodSource("seeds")
+  void keepsRulesAndEndsJobs(long seed) throws SettingsException {
+    List<String> lines = RandomScenario.lines(seed);
+    assertEquals(
+        List.of(), Scenario.play(lines, seed), "seed " + seed + "\n" + String.join("\n", lines));
+  }
+}
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -75,6 +75,11 @@
         lines.add(text);
       }
     }
+    return play(lines, seed);
+  }
+
+  /** Plays these lines. */
+  public static List<String> play(List<String> lines, long seed) throws SettingsException {
     Scenario scenario = new Scenario(lines, seed);
     scenario.run();
     return scenario.failures;
@@ -361,6 +366,9 @@
 
   private void actOnMachine(String[] words) {
     List<SimCloud.Machine> up = cloud.up();
+    if (up.isEmpty()) {
+      return;
+    }
     List<SimCloud.Machine> hit =
         words[1].equals("all") ? up : List.of(up.get(Integer.parseInt(words[1]) % up.size()));
     for (SimCloud.Machine machine : hit) {
