--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/CloudList.java
@@ -0,0 +1,70 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.CloudCodec;
+import org.mulleinshift.protocol.CloudMachine;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.HttpRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Reads the cloud's list of machines now and then; it lags, and proves nothing alone. */
+final class CloudList {
+  private static final Logger LOG = LoggerFactory.getLogger(CloudList.class);
+  private static final Duration DEADLINE = Duration.ofSeconds(5);
+  private static final Duration LIST_EVERY = Duration.ofSeconds(10);
+
+  private final Leader leader;
+  private final Leader.Surroundings around;
+  private final EventLoop loop;
+  private final Fleet.Cloud cloud;
+  private final Consumer<CloudMachine> listed;
+
+  CloudList(
+      Leader leader, Leader.Surroundings around, Fleet.Cloud cloud, Consumer<CloudMachine> listed) {
+    this.leader = leader;
+    this.around = around;
+    this.loop = around.loop();
+    this.cloud = cloud;
+    this.listed = listed;
+  }
+
+  void listRegularly() {
+    if (!leader.leading()) {
+      return;
+    }
+    loop.after(LIST_EVERY, this::listRegularly);
+    if (around.certain().getAsBoolean()) {
+      list(Optional.empty());
+    }
+  }
+
+  private void list(Optional<MachineId> after) {
+    if (!cloud.budget().take(1, 1)) {
+      return;
+    }
+    cloud
+        .calls()
+        .call(
+            cloud.address(),
+            HttpRequest.get(CloudCodec.listPath(after), DEADLINE),
+            reply -> {
+              if (!reply.ok() || !leader.leading()) {
+                return;
+              }
+              try {
+                CloudCodec.Page page = CloudCodec.parseList(reply.body());
+                page.machines().forEach(listed);
+                if (page.more() && !page.machines().isEmpty()) {
+                  list(Optional.of(page.machines().get(page.machines().size() - 1).id()));
+                }
+              } catch (BadMessage e) {
+                LOG.warn("machine list: {}", e.getMessage());
+              }
+            });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Draining.java
@@ -0,0 +1,141 @@
+package org.mulleinshift.coordination;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
+import org.mulleinshift.bookkeeping.Delegation;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.bookkeeping.Machine;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.settings.Tunables;
+import org.mulleinshift.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Which machines are returned: only such as are wholly idle, and such as the others can do for. */
+final class Draining {
+  private static final Logger LOG = LoggerFactory.getLogger(Draining.class);
+  private static final int DRAINED_OF = 24;
+  private static final int MOST_TRIALS = 16;
+
+  private final Fleet fleet;
+  private final FleetPlan plan;
+  private final Leader leader;
+  private final Leader.Surroundings around;
+  private final EventLoop loop;
+
+  Draining(Fleet fleet, FleetPlan plan, Leader leader, Leader.Surroundings around) {
+    this.fleet = fleet;
+    this.plan = plan;
+    this.leader = leader;
+    this.around = around;
+    this.loop = around.loop();
+  }
+
+  /** Returns machines that are idle, paid for their least time, and of no use to the walk. */
+  void drain(Set<MachineId> used) {
+    double idle = around.tunables().number(Tunables.Key.IDLE_RETURN_S);
+    double held = around.tunables().number(Tunables.Key.MINIMUM_HELD_S);
+    for (LeaderBlock block : leader.blocks().values()) {
+      for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
+        MachineId id = entry.getKey();
+        Machine known = fleet.track(id);
+        boolean unused =
+            known.state() == Machine.State.DRAINING
+                || (!used.contains(id) && known.idleSeconds(loop.now()) >= idle);
+        if (entry.getValue().up()
+            && unused
+            && !fleet.doubted(entry.getValue().type())
+            && known.state() != Machine.State.RETURNING
+            && known.heldSeconds(loop.now()) >= held
+            && !leader.occupancy().busy(id, block.id())) {
+          fleet.giveUp(id, "is idle");
+        }
+      }
+    }
+  }
+
+  /** Room ran short: machines that were to go stay. */
+  void reopen(Set<MachineTypeId> wanted) {
+    for (LeaderBlock block : leader.blocks().values()) {
+      for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
+        if (!wanted.contains(entry.getValue().type())) {
+          continue;
+        }
+        MachineId id = entry.getKey();
+        Machine known = fleet.track(id);
+        known.spare(false, loop.now());
+        if (known.state() == Machine.State.DRAINING) {
+          LOG.info("{} stays", id);
+          known.reopen();
+          leader.touch(block.id());
+        }
+      }
+    }
+  }
+
+  /**
+   * The dearest machine whose tasks would fit into the room that the others have left takes no new
+   * tasks. Tasks end where they are; nothing is moved. Types that tasks wait for are left alone;
+   * tasks that only fit a large type, of which there are no more, do not keep the small ones up.
+   */
+  void consolidate(Set<MachineTypeId> wanted) {
+    double held = around.tunables().number(Tunables.Key.MINIMUM_HELD_S);
+    double patience = around.tunables().number(Tunables.Key.SPARE_S);
+    Map<MachineId, Room> rooms = new HashMap<>();
+    plan.collectMachines(new ArrayList<>(), new ArrayList<>(), rooms, 0);
+    plan.collectRunning(rooms, new ArrayList<>(), 0);
+    for (Headroom.Kept kept : leader.headroom().kept(loop.now())) {
+      if (Placer.fill(kept.need(), 2 * kept.count(), rooms.values()) < 2 * kept.count()) {
+        return;
+      }
+    }
+    List<Room> candidates = new ArrayList<>(rooms.values());
+    candidates.removeIf(room -> wanted.contains(room.type()));
+    candidates.sort(
+        Comparator.comparingDouble(Room::drainWeight)
+            .reversed()
+            .thenComparingDouble(room -> -room.free().cpus())
+            .thenComparing(Room::machine));
+    // A few at a time: each trial costs as much as the fleet is large.
+    int trials = MOST_TRIALS;
+    int most = 1 + candidates.size() / DRAINED_OF;
+    for (Room candidate : candidates) {
+      Machine known = fleet.track(candidate.machine());
+      boolean old = known.state() == Machine.State.UP && known.heldSeconds(loop.now()) >= held;
+      boolean spare = old && most > 0 && trials-- > 0 && movesElsewhere(candidate, rooms);
+      most -= spare ? 1 : 0;
+      if (known.spare(spare, loop.now()) >= patience && spare) {
+        LOG.info("{} is spare: it takes no new tasks", candidate.machine());
+        known.drain();
+        fleet.touchBlockOf(candidate.machine());
+      }
+    }
+  }
+
+  /** Whether the others have room for its tasks; if so, that room is taken and it is left out. */
+  private boolean movesElsewhere(Room candidate, Map<MachineId, Room> rooms) {
+    Map<MachineId, Room> trial = new HashMap<>();
+    rooms.forEach((id, room) -> trial.put(id, room.copy()));
+    trial.remove(candidate.machine());
+    Map<PlacementNeed, Integer> needs = new LinkedHashMap<>();
+    for (Delegation delegation : leader.occupancy().on(candidate.machine())) {
+      Job job = leader.jobs().get(delegation.task().job());
+      needs.merge(PlacementNeed.of(job.spec()), 1, Integer::sum);
+    }
+    for (Map.Entry<PlacementNeed, Integer> need : needs.entrySet()) {
+      if (Placer.fill(need.getKey(), need.getValue(), trial.values()) < need.getValue()) {
+        return false;
+      }
+    }
+    rooms.clear();
+    rooms.putAll(trial);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/FleetPlan.java
@@ -0,0 +1,194 @@
+package org.mulleinshift.coordination;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.mulleinshift.bookkeeping.Delegation;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.bookkeeping.Machine;
+import org.mulleinshift.bookkeeping.Rental;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.MachineType;
+import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.protocol.Resources;
+import org.mulleinshift.protocol.TeamId;
+import org.mulleinshift.protocol.peer.MachineReport;
+import org.mulleinshift.settings.Tunables;
+import org.mulleinshift.transport.EventLoop;
+
+/** What a walk starts from: the rooms of machines, booting ones and rentals, and who waits. */
+final class FleetPlan {
+  private final Fleet fleet;
+  private final Leader leader;
+  private final Leader.Surroundings around;
+  private final EventLoop loop;
+
+  FleetPlan(Fleet fleet, Leader leader, Leader.Surroundings around) {
+    this.fleet = fleet;
+    this.leader = leader;
+    this.around = around;
+    this.loop = around.loop();
+  }
+
+  /** What a walk found: the shortage, the machines that it used, and the fleet's processors. */
+  record Plan(Walk.Result result, double fleetCpus) {}
+
+  Plan plan(List<Walk.Waiting> waiting, double horizon) {
+    List<Room> rooms = new ArrayList<>();
+    List<Walk.Release> releases = new ArrayList<>();
+    Map<MachineId, Room> byMachine = new HashMap<>();
+    collectMachines(rooms, releases, byMachine, horizon);
+    collectRentals(rooms, releases, horizon);
+    double cpus = rooms.stream().mapToDouble(room -> room.size().cpus()).sum();
+    collectRunning(byMachine, releases, horizon);
+    int steps = around.tunables().count(Tunables.Key.WALK_STEPS);
+    return new Plan(Walk.run(rooms, releases, waiting, horizon, steps), cpus);
+  }
+
+  void collectMachines(
+      List<Room> rooms,
+      List<Walk.Release> releases,
+      Map<MachineId, Room> byMachine,
+      double horizon) {
+    for (LeaderBlock block : leader.blocks().values()) {
+      block
+          .machines()
+          .forEach(
+              (id, record) -> {
+                Optional<MachineType> type = around.catalog().type(record.type());
+                if (type.isEmpty() || fleet.closed(id)) {
+                  return;
+                }
+                boolean leaving = block.reportOf(id).filter(MachineReport::getRecalled).isPresent();
+                if (leaving) {
+                  return;
+                }
+                Resources size = type.get().size();
+                Machine known = fleet.track(id);
+                BootTimes.Outlook outlook = fleet.outlook(type.get(), known);
+                if (!record.up()
+                    && (outlook == BootTimes.Outlook.LATE
+                        || outlook == BootTimes.Outlook.HOPELESS)) {
+                  // Overdue: it may never come, so it is no room.
+                  return;
+                }
+                double bootLeft =
+                    fleet.boots().expected(type.get()) - known.heldSeconds(loop.now());
+                Room room =
+                    Room.on(
+                        block,
+                        id,
+                        record,
+                        type.get(),
+                        record.up() ? size : Resources.ZERO,
+                        Set.of());
+                rooms.add(room);
+                byMachine.put(id, room);
+                if (!record.up()) {
+                  // Within the horizon even if its type boots slower than that: a machine on its
+                  // way that is no room is rented for again with every resize.
+                  double at = Math.min(horizon, Math.max(0, bootLeft));
+                  releases.add(new Walk.Release(at, room, size));
+                }
+              });
+    }
+  }
+
+  private void collectRentals(List<Room> rooms, List<Walk.Release> releases, double horizon) {
+    for (Rental rental : fleet.rentals().expected()) {
+      MachineType type = around.catalog().type(rental.type()).orElse(null);
+      if (type == null) {
+        continue;
+      }
+      for (int i = 0; i < rental.count(); i++) {
+        Room room =
+            new Room(
+                new MachineId(rental.name() + "#" + i),
+                Room.NO_BLOCK,
+                rental.zone(),
+                rental.type(),
+                rental.spot(),
+                type.dearness(rental.spot()),
+                type.size(),
+                Resources.ZERO,
+                Set.of());
+        rooms.add(room);
+        releases.add(new Walk.Release(horizon, room, type.size()));
+      }
+    }
+  }
+
+  void collectRunning(Map<MachineId, Room> byMachine, List<Walk.Release> releases, double horizon) {
+    for (Job job : leader.jobs().values()) {
+      double expected = around.runTimes().expectedSeconds(job);
+      PlacementNeed need = PlacementNeed.of(job.spec());
+      int unplaced = 0;
+      for (Delegation delegation : job.delegations()) {
+        if (delegation.state() == Delegation.State.ENDED) {
+          continue;
+        }
+        if (delegation.machine().isEmpty()) {
+          unplaced++;
+          continue;
+        }
+        Room room = byMachine.get(delegation.machine().get());
+        if (room != null) {
+          room.take(need);
+          double ran =
+              delegation.runningSince().map(since -> loop.now().secondsSince(since)).orElse(0.0);
+          // A task past its expected end frees nothing that can be counted on.
+          double left = ran > expected ? expected * 0.5 : expected - ran;
+          if (left <= horizon) {
+            releases.add(new Walk.Release(left, room, need.perTask()));
+          }
+        }
+      }
+      Placer.fill(
+          need,
+          unplaced,
+          byMachine.values(),
+          (room, count) -> {
+            if (expected <= horizon) {
+              releases.add(new Walk.Release(expected, room, need.perTask().times(count)));
+            }
+          });
+    }
+  }
+
+  /** Waiting tasks in order, without those that their team's limit holds back. */
+  List<Walk.Waiting> waiting() {
+    Map<TeamId, Resources> use = Quota.use(leader.jobs().values());
+    List<Walk.Waiting> groups = new ArrayList<>();
+    for (Job job : leader.ranking().order()) {
+      if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0) {
+        continue;
+      }
+      Resources used = use.getOrDefault(job.spec().team(), Resources.ZERO);
+      int count = Math.min(job.waitingCount(), leader.quota().withinLimit(job, used));
+      // A job submitted with a mistake is no demand beyond its next try.
+      count = Math.min(count, leader.blame().tries(job, loop.now()));
+      if (count > 0) {
+        use.put(job.spec().team(), used.plus(job.spec().perTask().times(count)));
+        groups.add(
+            new Walk.Waiting(
+                PlacementNeed.of(job.spec()), around.runTimes().expectedSeconds(job), count));
+      }
+    }
+    return groups;
+  }
+
+  /** The types that waiting tasks could use. */
+  Set<MachineTypeId> typesFor(List<Walk.Waiting> waiting) {
+    Set<MachineTypeId> types = new HashSet<>();
+    for (Walk.Waiting group : waiting) {
+      around.catalog().types().values().stream()
+          .filter(type -> group.need().mayUse(type))
+          .forEach(type -> types.add(type.id()));
+    }
+    return types;
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -265,7 +265,7 @@
   }
 
   private void begin(StateCodec.Range rentals) {
-    fleet.load(rentals.items(), journal);
+    fleet.rentals().load(rentals.items(), journal);
     moveTo(State.LEADING);
     onControlChange();
     early.forEach(this::onJob);
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/Rentals.java
@@ -0,0 +1,201 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.LeaderJournal;
+import org.mulleinshift.bookkeeping.Rental;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.CloudCodec;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.HttpReply;
+import org.mulleinshift.transport.HttpRequest;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Asks the cloud for machines. A rental's name is stored before it is used and never used again;
+ * the key goes only after the machines are stored.
+ */
+final class Rentals {
+  private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
+  private static final Duration DEADLINE = Duration.ofSeconds(5);
+  private static final Duration RETRY = Duration.ofSeconds(1);
+
+  /** Hears what came of rentals. */
+  interface Listener {
+    void rented(Rental rental, List<MachineId> machines);
+
+    void refused(Rental rental);
+  }
+
+  private final Leader leader;
+  private final Leader.Surroundings around;
+  private final EventLoop loop;
+  private final Fleet.Cloud cloud;
+  private final Revision term;
+  private final Listener listener;
+  private final Map<String, Rental> rentals = new LinkedHashMap<>();
+  private long names;
+
+  Rentals(
+      Leader leader,
+      Leader.Surroundings around,
+      Fleet.Cloud cloud,
+      Revision term,
+      Listener listener) {
+    this.leader = leader;
+    this.around = around;
+    this.loop = around.loop();
+    this.cloud = cloud;
+    this.term = term;
+    this.listener = listener;
+  }
+
+  void start() {
+    rentals.values().forEach(this::ask);
+  }
+
+  /** Rentals whose machines may still be counted on. */
+  List<Rental> expected() {
+    return rentals.values().stream()
+        .filter(rental -> rental.state() != Rental.State.ANSWERED)
+        .filter(rental -> loop.now().secondsSince(rental.plannedAt()) <= DEADLINE.toSeconds() * 2)
+        .toList();
+  }
+
+  /** A new leader asks again under the stored names: the same name never rents twice. */
+  void load(List<Item> items, LeaderJournal journal) {
+    for (Item item : items) {
+      String name = item.key().substring(Keys.RENTALS.length());
+      journal.known(item.key(), item.version());
+      rentals.put(name, Rental.read(name, item.value(), loop.now()));
+    }
+  }
+
+  void rent(Market.Offer offer, int count) {
+    for (int left = count; left > 0; left -= CloudCodec.MOST_RENTED) {
+      rentAtOnce(offer, Math.min(left, CloudCodec.MOST_RENTED));
+    }
+  }
+
+  private void rentAtOnce(Market.Offer offer, int count) {
+    String name = "r-" + term + "-" + ++names;
+    Rental rental =
+        new Rental(
+            name,
+            offer.type(),
+            offer.zone(),
+            offer.spot(),
+            count,
+            loop.now(),
+            Rental.State.PLANNED);
+    rentals.put(name, rental);
+    leader.journal().submit(Keys.rental(name), new RentalUnit(rental));
+  }
+
+  private void ask(Rental rental) {
+    if (!leader.leading() || rental.state() != Rental.State.ASKED) {
+      return;
+    }
+    if (!around.certain().getAsBoolean() || !cloud.budget().take(1, 0)) {
+      loop.after(RETRY, () -> ask(rental));
+      return;
+    }
+    cloud
+        .calls()
+        .call(
+            cloud.address(),
+            HttpRequest.post(
+                CloudCodec.RENTALS,
+                CloudCodec.rent(
+                    rental.name(), rental.type(), rental.zone(), rental.spot(), rental.count()),
+                DEADLINE),
+            reply -> answered(rental, reply));
+  }
+
+  private void answered(Rental rental, HttpReply reply) {
+    if (!leader.leading()) {
+      return;
+    }
+    if (reply.ok()) {
+      try {
+        rented(rental, CloudCodec.parseRented(reply.body()));
+        return;
+      } catch (BadMessage e) {
+        LOG.warn("answer to rental {}: {}", rental.name(), e.getMessage());
+      }
+    }
+    if (reply.status() == 400 || (reply.status() == 503 && reply.body().contains("no capacity"))) {
+      LOG.info("rental {} of {} in {} refused", rental.name(), rental.type(), rental.zone());
+      listener.refused(rental);
+      end(rental);
+      return;
+    }
+    // No clear answer: the cloud may have rented. The same name asks again.
+    loop.after(RETRY, () -> ask(rental));
+  }
+
+  private void rented(Rental rental, List<MachineId> machines) {
+    LOG.info(
+        "rental {}: {} of {} {} in {}",
+        rental.name(),
+        machines.size(),
+        rental.count(),
+        rental.type(),
+        rental.zone());
+    if (machines.size() < rental.count()) {
+      listener.refused(rental);
+    }
+    listener.rented(rental, machines);
+    end(rental);
+  }
+
+  /** The rental's key goes only after its machines are stored. */
+  private void end(Rental rental) {
+    rental.moveTo(Rental.State.ANSWERED);
+    leader
+        .journal()
+        .submit(
+            Keys.rental(rental.name()),
+            new LeaderJournal.Unit() {
+              @Override
+              public List<Write> writes() {
+                return List.of(Write.delete(Keys.rental(rental.name())));
+              }
+
+              @Override
+              public void committed(Revision revision) {
+                rentals.remove(rental.name());
+              }
+            });
+  }
+
+  /** A rental's name, stored before the cloud hears it. */
+  private final class RentalUnit implements LeaderJournal.Unit {
+    private final Rental rental;
+
+    RentalUnit(Rental rental) {
+      this.rental = rental;
+    }
+
+    @Override
+    public List<Write> writes() {
+      return rental.state() == Rental.State.PLANNED
+          ? List.of(Write.put(Keys.rental(rental.name()), rental.write()))
+          : List.of();
+    }
+
+    @Override
+    public void committed(Revision revision) {
+      rental.moveTo(Rental.State.ASKED);
+      ask(rental);
+    }
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -13,6 +13,9 @@
 
 /** Free room on one machine while a plan is made. */
 final class Room {
+  /** Of a machine that is in no block yet. */
+  static final BlockId NO_BLOCK = new BlockId("-");
+
   private static final double SIZE_WEIGHT = 3000;
   private static final double IMAGE_WEIGHT = 1000;
   private static final double PRICE_WEIGHT = 300;
