Idle work rents no dear machines, images by the machine's cache, a refused report is no silence

Work of the lowest priority now rents no ordinary machines for its first 150 s (patient_s), or until twice its run time before its deadline. Holders remembered six images of each machine, whatever its cache; a missing one weighed as much as a dear machine. A report shows that its worker reaches the node even if it may not be answered; one knock is enough to move the blocks of a deaf holder.

--- a/src/main/java/org/mulleinshift/coordination/AssignmentWriter.java
+++ b/src/main/java/org/mulleinshift/coordination/AssignmentWriter.java
@@ -73,6 +73,7 @@
         need.perTask().gpus(),
         need.perTask().memoryGb(),
         need.image(),
+        need.imageGb(),
         spec.checkpointSeconds() > 0 ? spec.saveSeconds() : 0,
         need.types().stream().map(type -> type.value()).toList(),
         need.spotAllowed(),
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -236,6 +236,7 @@
     return new PlacementNeed(
         new Resources(job.getCpus(), job.getGpus(), job.getMemoryGb()),
         job.getImage(),
+        job.getImageGb(),
         job.getMachineTypes().stream().map(MachineTypeId::new).toList(),
         Optional.empty(),
         job.getSpotAllowed());
@@ -301,7 +302,12 @@
   /** The answer to a report, or none if this node must not give one. */
   Optional<String> onReport(WorkerReport report) {
     HeldMachine machine = machines.get(report.machine());
-    if (machine == null || !entitled.getAsBoolean()) {
+    if (machine == null) {
+      return Optional.empty();
+    }
+    // A report that may not be answered still shows that its worker is there and reaches this node.
+    machine.reached(loop.now());
+    if (!entitled.getAsBoolean()) {
       return Optional.empty();
     }
     if (report.highestToken().compareTo(machine.token()) > 0) {
@@ -383,7 +389,10 @@
       return;
     }
     TaskPhase phase = phaseOf(entry);
-    if (phase == TaskPhase.RUNNING && machine.addImage(task.need().image())) {
+    double cache =
+        around.catalog().type(machine.record().type()).map(MachineType::cacheGb).orElse(0.0);
+    if (phase == TaskPhase.RUNNING
+        && machine.addImage(task.need().image(), task.need().imageGb(), cache)) {
       news(machine.id());
     }
     if (task.phase() != phase) {
@@ -483,7 +492,7 @@
   private Stream<HeldMachine> expected() {
     boolean settled = loop.now().since(startedAt).compareTo(around.timing().lease()) > 0;
     return machines.values().stream()
-        .filter(m -> m.record().up() && (settled || m.answeredAt().isPresent()));
+        .filter(m -> m.record().up() && (settled || m.reachedAt().isPresent()));
   }
 
   int knownMachines() {
@@ -564,10 +573,8 @@
               machine.id(),
               id,
               ANY_ZONE,
-              type.get().id(),
+              type.get(),
               machine.record().spot(),
-              type.get().dearness(machine.record().spot()),
-              type.get().size(),
               type.get().size().minus(machine.used()),
               images));
     }
@@ -584,7 +591,7 @@
   }
 
   private HeldMachine.Silence silenceOf(HeldMachine machine, SteadyTime now) {
-    SteadyTime last = machine.answeredAt().orElse(startedAt);
+    SteadyTime last = machine.reachedAt().orElse(startedAt);
     Duration silent = now.since(listeningSince.isAfter(last) ? listeningSince : last);
     if (silent.compareTo(around.timing().lease().plusSeconds(1)) > 0) {
       return HeldMachine.Silence.GONE;
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -23,7 +23,6 @@
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.MachineTypeId;
-import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec.Write;
 import org.mulleinshift.protocol.ZoneId;
@@ -283,7 +282,7 @@
   private Set<MachineTypeId> scarceTypes(List<Walk.Waiting> shortage) {
     Set<MachineTypeId> scarce = new HashSet<>();
     for (Walk.Waiting group : shortage) {
-      if (market.bestOffer(group.need(), group.count(), Map.of()).isEmpty()) {
+      if (market.bestOffer(group.need(), group.count(), false, Map.of()).isEmpty()) {
         for (MachineType type : around.catalog().types().values()) {
           if (group.need().mayUse(type)) {
             scarce.add(type.id());
@@ -302,7 +301,7 @@
       PlacementNeed elsewhere = group.need().onlyOn(others);
       boolean canMove =
           !elsewhere.types().isEmpty()
-              && market.bestOffer(elsewhere, group.count(), Map.of()).isPresent();
+              && market.bestOffer(elsewhere, group.count(), false, Map.of()).isPresent();
       groups.add(canMove ? group.with(elsewhere) : group);
     }
     return groups;
@@ -322,7 +321,8 @@
     for (Walk.Waiting group : shortage) {
       int left = group.count() - Placer.fill(group.need(), group.count(), fresh);
       while (left > 0) {
-        Optional<Market.Offer> offer = market.bestOffer(group.need(), left, wanted);
+        Optional<Market.Offer> offer =
+            market.bestOffer(group.need(), left, group.patient(), wanted);
         if (offer.isEmpty()) {
           break;
         }
@@ -354,7 +354,9 @@
     for (Walk.Waiting group : plan.waiting()) {
       PlacementNeed need = group.need().onlyOn(List.of(type));
       Optional<Market.Offer> offer =
-          need.types().isEmpty() ? Optional.empty() : market.bestOffer(need, 1, Map.of());
+          need.types().isEmpty()
+              ? Optional.empty()
+              : market.bestOffer(need, 1, group.patient(), Map.of());
       if (offer.isPresent()) {
         probedAt.put(type, loop.now());
         rentals.rent(offer.get(), 1 + doubtful.get(type) / PROBE_OF);
@@ -364,17 +366,15 @@
   }
 
   private Room freshRoom(Market.Offer offer, List<Room> fresh) {
-    Resources size = around.catalog().type(offer.type()).get().size();
+    MachineType type = around.catalog().type(offer.type()).get();
     Room room =
         new Room(
             new MachineId("new-" + fresh.size()),
             Room.NO_BLOCK,
             offer.zone(),
-            offer.type(),
+            type,
             offer.spot(),
-            0,
-            size,
-            size,
+            type.size(),
             Set.of());
     fresh.add(room);
     return room;
--- a/src/main/java/org/mulleinshift/coordination/FleetPlan.java
+++ b/src/main/java/org/mulleinshift/coordination/FleetPlan.java
@@ -14,6 +14,7 @@
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.protocol.Priority;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.TeamId;
 import org.mulleinshift.protocol.peer.MachineReport;
@@ -110,10 +111,8 @@
                 new MachineId(rental.name() + "#" + i),
                 Room.NO_BLOCK,
                 rental.zone(),
-                rental.type(),
+                type,
                 rental.spot(),
-                type.dearness(rental.spot()),
-                type.size(),
                 Resources.ZERO,
                 Set.of());
         rooms.add(room);
@@ -175,12 +174,26 @@
         use.put(job.spec().team(), used.plus(job.spec().perTask().times(count)));
         groups.add(
             new Walk.Waiting(
-                PlacementNeed.of(job.spec()), around.runTimes().expectedSeconds(job), count));
+                PlacementNeed.of(job.spec()),
+                around.runTimes().expectedSeconds(job),
+                patient(job),
+                count));
       }
     }
     return groups;
   }
 
+  /** Work of the lowest priority is worth no dear machine as long as its time allows to wait. */
+  private boolean patient(Job job) {
+    if (job.spec().priority() != Priority.LOW || !job.spec().spotAllowed()) {
+      return false;
+    }
+    double patience = around.tunables().number(Tunables.Key.PATIENT_S);
+    double latest = job.dueMillis() - 2000 * around.runTimes().expectedSeconds(job);
+    double until = Math.min(latest, job.acceptedMillis() + 1000 * patience);
+    return loop.wallMillis() < until;
+  }
+
   /** The types that waiting tasks could use. */
   Set<MachineTypeId> typesFor(List<Walk.Waiting> waiting) {
     Set<MachineTypeId> types = new HashSet<>();
--- a/src/main/java/org/mulleinshift/coordination/HeldMachine.java
+++ b/src/main/java/org/mulleinshift/coordination/HeldMachine.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,8 +23,6 @@
   /** Low bits of a token, for raising it on one machine without a new grant. */
   static final int BUMP_BITS = 20;
 
-  private static final int REMEMBERED_IMAGES = 6;
-
   private final MachineId id;
   private MachineRecord record;
   private MachinePhase phase = MachinePhase.UNSEEN;
@@ -32,9 +30,10 @@
   private WorkerMoment moment = WorkerMoment.NEVER;
   private String address = "";
   private Optional<SteadyTime> answeredAt = Optional.empty();
+  private Optional<SteadyTime> reachedAt = Optional.empty();
   private Optional<Duration> recall = Optional.empty();
   private List<WorkerReport.Entry> strays = new ArrayList<>();
-  private final Set<String> images = new LinkedHashSet<>();
+  private final Map<String, Double> images = new LinkedHashMap<>();
   private final Map<TaskId, HeldTask> bound = new LinkedHashMap<>();
   private Resources used = Resources.ZERO;
   private Silence silence = Silence.HEARD;
@@ -87,16 +86,32 @@
     recall = report.recall();
   }
 
+  /** A report came, whether or not this node may answer it. */
+  void reached(SteadyTime now) {
+    reachedAt = Optional.of(now);
+  }
+
+  Optional<SteadyTime> reachedAt() {
+    return reachedAt;
+  }
+
   void answered(SteadyTime now) {
     answeredAt = Optional.of(now);
   }
 
-  /** False if it was known already. */
-  boolean addImage(String image) {
-    boolean news = !images.remove(image);
-    images.add(image);
-    if (images.size() > REMEMBERED_IMAGES) {
-      images.remove(images.iterator().next());
+  /**
+   * A task runs from the image, so the machine has it; those used longest ago no longer fit. False
+   * if it was known already.
+   */
+  boolean addImage(String image, double gb, double cacheGb) {
+    boolean news = images.remove(image) == null;
+    images.put(image, gb);
+    double total = images.values().stream().mapToDouble(Double::doubleValue).sum();
+    Iterator<Double> oldest = images.values().iterator();
+    while (images.size() > 1 && total > cacheGb) {
+      total -= oldest.next();
+      oldest.remove();
+      news = true;
     }
     return news;
   }
@@ -180,7 +195,7 @@
   }
 
   Set<String> images() {
-    return images;
+    return images.keySet();
   }
 
   boolean directInFlight() {
--- a/src/main/java/org/mulleinshift/coordination/HolderFitness.java
+++ b/src/main/java/org/mulleinshift/coordination/HolderFitness.java
@@ -24,7 +24,6 @@
   private static final Duration FIRST = Duration.ofSeconds(20);
   private static final Duration FORGIVEN = Duration.ofSeconds(180);
   private static final int MOST_DOUBLINGS = 3;
-  private static final int ENOUGH_KNOCKS = 2;
 
   private static final class Strikes {
     private int count;
@@ -47,7 +46,7 @@
     }
     knocks.forEach(
         (node, count) -> {
-          if (count >= ENOUGH_KNOCKS && workersSilent.test(node)) {
+          if (count > 0 && workersSilent.test(node)) {
             strike(node, now);
           }
         });
--- a/src/main/java/org/mulleinshift/coordination/Market.java
+++ b/src/main/java/org/mulleinshift/coordination/Market.java
@@ -35,7 +35,8 @@
   }
 
   /** The cheapest way to run the tasks that would use a new machine, among what is to be had. */
-  Optional<Offer> bestOffer(PlacementNeed need, int count, Map<Offer, Integer> wanted) {
+  Optional<Offer> bestOffer(
+      PlacementNeed need, int count, boolean spotOnly, Map<Offer, Integer> wanted) {
     Offer best = null;
     double bestCost = Double.MAX_VALUE;
     for (MachineType type : catalog.types().values()) {
@@ -46,7 +47,10 @@
       for (ZoneId zone : type.zones()) {
         for (boolean spot : new boolean[] {true, false}) {
           Offer offer = new Offer(type.id(), zone, spot);
-          if (!need.allows(type.id(), spot) || !need.allowsZone(zone) || !available(offer)) {
+          if ((spotOnly && !spot)
+              || !need.allows(type.id(), spot)
+              || !need.allowsZone(zone)
+              || !available(offer)) {
             continue;
           }
           // Large machines are kept for the tasks that need them unless they cost far less.
--- a/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
+++ b/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
@@ -12,6 +12,7 @@
 record PlacementNeed(
     Resources perTask,
     String image,
+    double imageGb,
     List<MachineTypeId> types,
     Optional<ZoneId> zone,
     boolean spotAllowed) {
@@ -19,6 +20,7 @@
     return new PlacementNeed(
         spec.perTask(),
         spec.image(),
+        spec.imageGb(),
         spec.machineTypes().orElse(List.of()),
         spec.zone(),
         spec.spotAllowed());
@@ -27,7 +29,7 @@
   /** The same on some types only; none are left if it allows none of them. */
   PlacementNeed onlyOn(List<MachineTypeId> some) {
     List<MachineTypeId> left = some.stream().filter(this::allowsType).toList();
-    return new PlacementNeed(perTask, image, left, zone, spotAllowed);
+    return new PlacementNeed(perTask, image, imageGb, left, zone, spotAllowed);
   }
 
   /** A task fits an empty machine of the type, and may be on it. */
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -17,13 +17,17 @@
   static final BlockId NO_BLOCK = new BlockId("-");
 
   private static final double SIZE_WEIGHT = 3000;
-  private static final double IMAGE_WEIGHT = 1000;
+
+  /** For each second of a fetch, and at most: a fetch is no reason to keep a dear machine up. */
+  private static final double FETCH_WEIGHT = 50;
+
+  private static final double MOST_FETCH_WEIGHT = 1000;
   private static final double PRICE_WEIGHT = 300;
 
   private final MachineId machine;
   private final BlockId block;
   private final ZoneId zone;
-  private final MachineTypeId type;
+  private final MachineType type;
   private final boolean spot;
   private final Resources size;
   private final Collection<String> known;
@@ -35,10 +39,8 @@
       MachineId machine,
       BlockId block,
       ZoneId zone,
-      MachineTypeId type,
+      MachineType type,
       boolean spot,
-      double dearness,
-      Resources size,
       Resources free,
       Collection<String> images) {
     this.machine = machine;
@@ -46,8 +48,8 @@
     this.zone = zone;
     this.type = type;
     this.spot = spot;
-    this.dearness = dearness;
-    this.size = size;
+    this.dearness = type.dearness(spot);
+    this.size = type.size();
     this.free = free;
     this.known = images;
   }
@@ -60,16 +62,7 @@
       MachineType type,
       Resources free,
       Collection<String> images) {
-    return new Room(
-        machine,
-        block.id(),
-        block.zone(),
-        record.type(),
-        record.spot(),
-        type.dearness(record.spot()),
-        type.size(),
-        free,
-        images);
+    return new Room(machine, block.id(), block.zone(), type, record.spot(), free, images);
   }
 
   boolean takes(PlacementNeed need) {
@@ -77,7 +70,7 @@
   }
 
   private boolean allowedFor(PlacementNeed need) {
-    return need.allows(type, spot) && need.allowsZone(zone);
+    return need.allows(type.id(), spot) && need.allowsZone(zone);
   }
 
   /** How many such tasks fit. */
@@ -108,8 +101,17 @@
     left += size.cpus() > 0 ? (free.cpus() - need.perTask().cpus()) : 0;
     left += size.gpus() > 0 ? 8 * (free.gpus() - need.perTask().gpus()) : 0;
     left += size.memoryGb() > 0 ? (free.memoryGb() - need.perTask().memoryGb()) / 16 : 0;
-    return left
-        + (known.contains(need.image()) || coming.contains(need.image()) ? 0 : IMAGE_WEIGHT);
+    return left + fetchWeight(need);
+  }
+
+  private double fetchWeight(PlacementNeed need) {
+    if (known.contains(need.image()) || coming.contains(need.image())) {
+      return 0;
+    }
+    double rate = type.fetchGbPerSecond();
+    return rate <= 0
+        ? MOST_FETCH_WEIGHT
+        : Math.min(MOST_FETCH_WEIGHT, FETCH_WEIGHT * need.imageGb() / rate);
   }
 
   /** A measure for choosing what to drain first. */
@@ -135,7 +137,7 @@
 
   /** The same room, to be taken from in a trial. */
   Room copy() {
-    Room copy = new Room(machine, block, zone, type, spot, dearness, size, free, known);
+    Room copy = new Room(machine, block, zone, type, spot, free, known);
     copy.coming.addAll(coming);
     return copy;
   }
@@ -145,7 +147,7 @@
   }
 
   MachineTypeId type() {
-    return type;
+    return type.id();
   }
 
   Resources free() {
--- a/src/main/java/org/mulleinshift/coordination/Walk.java
+++ b/src/main/java/org/mulleinshift/coordination/Walk.java
@@ -27,20 +27,27 @@
   static final class Waiting {
     private final PlacementNeed need;
     private final double runSeconds;
+    private final boolean patient;
     private int count;
 
-    Waiting(PlacementNeed need, double runSeconds, int count) {
+    Waiting(PlacementNeed need, double runSeconds, boolean patient, int count) {
       this.need = need;
       this.runSeconds = runSeconds;
+      this.patient = patient;
       this.count = count;
     }
 
+    /** Waits for cheap machines rather than rent dear ones. */
+    boolean patient() {
+      return patient;
+    }
+
     PlacementNeed need() {
       return need;
     }
 
     Waiting with(PlacementNeed other) {
-      return new Waiting(other, runSeconds, count);
+      return new Waiting(other, runSeconds, patient, count);
     }
 
     int count() {
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -61,6 +61,12 @@
         0.01,
         100,
         "a shortage of more than this share of the fleet is rented without waiting"),
+    PATIENT_S(
+        "patient_s",
+        150,
+        0,
+        86_400,
+        "work of the lowest priority rents no ordinary machines before it has waited this long"),
     SPARE_S(
         "spare_s", 6, 0, 3600, "how long the fleet could do without a machine before it drains"),
     HTTP_THREADS("http_threads", 16, 2, 256, "threads that read requests and write answers");
--- a/src/test/java/org/mulleinshift/sim/SimUser.java
+++ b/src/test/java/org/mulleinshift/sim/SimUser.java
@@ -17,6 +17,7 @@
   }
 
   private static final double POLL_SECONDS = 5;
+  private static final double ANSWER_SECONDS = 2;
   private static final double GIVE_UP_SECONDS = 60;
 
   private final World world;
@@ -142,10 +143,32 @@
     }
   }
 
+  /** One poll at a time; a response that takes longer than the user waits is not heard. */
   private void poll() {
-    // Polls go on after the end: the final state must be kept.
-    world.after(pollSeconds, this::poll);
-    nodes.request("GET", "/v2/runs/" + job.id, "", this::hear);
+    boolean[] over = new boolean[1];
+    Runnable next =
+        () -> {
+          over[0] = true;
+          // Polls go on after the end: the final state must be kept.
+          world.after(pollSeconds, this::poll);
+        };
+    nodes.request(
+        "GET",
+        "/v2/runs/" + job.id,
+        "",
+        reply -> {
+          if (!over[0]) {
+            hear(reply);
+            next.run();
+          }
+        });
+    world.after(
+        ANSWER_SECONDS,
+        () -> {
+          if (!over[0]) {
+            next.run();
+          }
+        });
   }
 
   private void hear(HttpReply reply) {
