--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,18 +20,14 @@
 import org.mulleinshift.bookkeeping.LeaderJournal;
 import org.mulleinshift.bookkeeping.StateStore;
 import org.mulleinshift.bookkeeping.StateStore.Answer;
-import org.mulleinshift.protocol.Attempt;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
-import org.mulleinshift.protocol.JobKind;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.NodeId;
-import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.protocol.StateCodec.Write;
-import org.mulleinshift.protocol.TeamId;
 import org.mulleinshift.protocol.ZoneId;
 import org.mulleinshift.protocol.peer.BlockReport;
 import org.mulleinshift.protocol.peer.JobCount;
@@ -59,7 +53,6 @@
   private static final Duration UPKEEP = Duration.ofMillis(500);
   private static final Duration DIGEST = Duration.ofSeconds(1);
   private static final Duration RESEND = Duration.ofMillis(700);
-  private static final int ATTEMPT_BITS = 20;
   private static final int CYCLE_SHARE = 4;
 
   /** What ends a job is stored as one. */
@@ -101,17 +94,14 @@
   private final Occupancy occupancy = new Occupancy();
   private final Fleet fleet;
   private final Headroom headroom;
-  private final Preemption preemption;
-  private final Optional<Double> guaranteeWithin;
+  private final SchedulingCycle scheduling;
   private final BlockSharing sharing;
   private final HolderFitness fitness;
   private final List<JobRecord> early = new ArrayList<>();
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
   private SteadyTime lastCycle;
-  private final double aheadSeconds;
   private Duration cycleTook = Duration.ZERO;
-  private Optional<Ranking> ranking = Optional.empty();
   private boolean cyclePlanned;
   private boolean sendPlanned;
 
@@ -139,18 +129,7 @@
             around.settings().cluster().objectives(),
             around.tunables().number(Tunables.Key.HEADROOM_JOBS),
             around.tunables().seconds(Tunables.Key.HEADROOM_LASTS_S));
-    this.preemption =
-        new Preemption(
-            around.tunables().number(Tunables.Key.PREEMPT_RAN_S),
-            around.tunables().number(Tunables.Key.PREEMPT_SLACK_S));
-    // Room that frees first refills what is kept for classes with a start aim; tasks that wait at
-    // holders would take it before.
-    this.aheadSeconds = headroom.protectsAny() ? 0 : around.tunables().number(Tunables.Key.AHEAD_S);
-    this.guaranteeWithin =
-        around.settings().cluster().objectives().stream()
-            .filter(objective -> objective.kind().equals("guarantee"))
-            .map(PlatformSettings.Objective::withinSeconds)
-            .findFirst();
+    this.scheduling = new SchedulingCycle(this, around, term, freeRoom);
     this.fleet = new Fleet(this, around, cloud, term);
     this.fitness = new HolderFitness(around.workersSilent());
     this.sharing =
@@ -455,8 +434,7 @@
   }
 
   private void changed(Job job, int index) {
-    int chunk = Job.chunkOf(index);
-    journal.submit(Keys.progress(job.spec().id(), chunk), new ChunkUnit(job, chunk));
+    store(job, Job.chunkOf(index));
     settle(job);
   }
 
@@ -477,7 +455,7 @@
     }
   }
 
-  private void requestStop(Delegation delegation) {
+  void requestStop(Delegation delegation) {
     delegation.requestStop();
     if (delegation.told()) {
       tell(delegation);
@@ -606,201 +584,18 @@
     if (state != State.LEADING) {
       return;
     }
-    SteadyTime began = loop.now();
-    lastCycle = began;
-    ranking = Optional.empty();
-    List<Room> rooms = freeRoom.rooms();
-    Map<TeamId, Resources> inUse = Quota.use(jobs.values());
-    Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + 1);
-    List<Job> order = ranking().order();
-    for (Job job : order) {
-      if (job.state() == Job.State.ACTIVE && headroom.protects(job.spec())) {
-        delegate(job, rooms, inUse, attempt);
-      }
-    }
-    keepHeadroom(rooms);
-    for (Job job : order) {
-      if (job.state() == Job.State.ACTIVE && !headroom.protects(job.spec())) {
-        delegate(job, rooms, inUse, attempt);
-      }
-    }
-    // After all room is given: what still waits may ask for more.
-    preempt(order, inUse);
-    delegateAhead(order, rooms, inUse, attempt);
-    cycleTook = loop.now().since(began);
-  }
-
-  private void delegate(Job job, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
-    TeamId team = job.spec().team();
-    Resources used = inUse.getOrDefault(team, Resources.ZERO);
-    int allowed = Math.min(quota.withinLimit(job, used), blame.tries(job, loop.now()));
-    if (allowed == 0 || job.waitingCount() == 0) {
-      return;
-    }
-    PlacementNeed need = PlacementNeed.of(job.spec());
-    if (job.spec().kind() == JobKind.GANG
-        && !ZoneRules.gangFits(job, need, rooms, allowed, loop.now())) {
-      return;
-    }
-    int[] waiting = job.waiting(allowed, loop.now());
-    int placed = 0;
-    Set<Integer> chunks = new HashSet<>();
-    while (placed < waiting.length) {
-      Room room = Placer.choose(need, allowedRooms(job, rooms)).orElse(null);
-      if (room == null) {
-        break;
-      }
-      // Where each task changes which zones are left, they are placed one by one.
-      boolean oneByOne = job.spec().spread() || job.spec().oneZone();
-      int count = oneByOne ? 1 : Math.min(room.countOf(need), waiting.length - placed);
-      room.take(need, count);
-      for (int i = 0; i < count; i++) {
-        int index = waiting[placed++];
-        occupancy.enter(job.delegate(index, room.block(), room.zone(), attempt));
-        chunks.add(Job.chunkOf(index));
-      }
-    }
-    inUse.put(team, used.plus(job.spec().perTask().times(placed)));
-    for (int chunk : chunks) {
-      journal.submit(Keys.progress(job.spec().id(), chunk), new ChunkUnit(job, chunk));
-    }
-  }
-
-  /**
-   * Tasks for the room that should become free until a delegation would have arrived. Storing and
-   * sending it takes longer than a machine should stand idle; the holder starts the task when the
-   * room is there.
-   */
-  private void delegateAhead(
-      List<Job> order, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
-    if (aheadSeconds == 0
-        || order.stream().noneMatch(job -> mayWaitAtHolder(job) && job.waitingCount() > 0)) {
-      return;
-    }
-    Map<MachineId, Room> byMachine = new HashMap<>();
-    rooms.forEach(room -> byMachine.put(room.machine(), room));
-    for (Job job : order) {
-      freeSoon(job)
-          .forEach(
-              delegation ->
-                  Optional.ofNullable(byMachine.get(delegation.machine().get()))
-                      .ifPresent(room -> room.give(delegation.perTask())));
-    }
-    for (FreeRoom.Ahead known : freeRoom.ahead()) {
-      List<Room> own = rooms.stream().filter(room -> room.block().equals(known.block())).toList();
-      Placer.fill(known.need(), known.count(), own);
-    }
-    for (Job job : order) {
-      if (mayWaitAtHolder(job)) {
-        delegate(job, rooms, inUse, attempt);
-      }
-    }
-  }
-
-  /** Where the other tasks are decides where a task may go: then it is not sent ahead. */
-  private static boolean mayWaitAtHolder(Job job) {
-    return job.state() == Job.State.ACTIVE
-        && job.spec().kind() == JobKind.ARRAY
-        && !job.spec().oneZone()
-        && !job.spec().spread();
-  }
-
-  /** As many of the job's running tasks as should end soon, the longest running first. */
-  private List<Delegation> freeSoon(Job job) {
-    List<Delegation> running =
-        job.delegations().stream()
-            .filter(delegation -> delegation.state() == Delegation.State.RUNNING)
-            .sorted(Comparator.comparing(delegation -> delegation.runningSince().get()))
-            .toList();
-    double ends =
-        running.size() * aheadSeconds / Math.max(1, around.runTimes().expectedSeconds(job));
-    return running.subList(0, (int) Math.min(running.size(), Math.round(ends)));
-  }
-
-  private List<Room> allowedRooms(Job job, List<Room> rooms) {
-    boolean anywhere = job.spec().zone().isEmpty() && !job.spec().oneZone() && !job.spec().spread();
-    return anywhere
-        ? rooms
-        : rooms.stream().filter(room -> ZoneRules.allowed(job, room.zone())).toList();
-  }
-
-  private void preempt(List<Job> order, Map<TeamId, Resources> inUse) {
-    for (Job job : order) {
-      if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0 || blame.blamed(job)) {
-        continue;
-      }
-      if (Preemption.mayPreempt(job) && pressing(job)) {
-        stopFor(job, order, inUse, new StopRules.ByPriority(job));
-      }
-      if (claimsGuarantee(job, inUse)) {
-        stopFor(
-            job,
-            order,
-            inUse,
-            new StopRules.ByGuarantee(
-                job,
-                ranking(),
-                other -> headroom.protects(other.spec()),
-                quota,
-                inUse,
-                jobs.values()));
-      }
-    }
-  }
-
-  private void stopFor(
-      Job job, List<Job> order, Map<TeamId, Resources> inUse, Preemption.GivesWay rule) {
-    Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
-    int wanted = job.waiting(quota.withinLimit(job, used), loop.now()).length;
-    preemption
-        .victims(job, wanted, order, rule, this::canMakeRoom, loop.now())
-        .forEach(this::requestStop);
+    lastCycle = loop.now();
+    scheduling.cycle();
+    cycleTook = loop.now().since(lastCycle);
   }
 
-  private boolean pressing(Job job) {
-    double expected = around.runTimes().expectedSeconds(job);
-    return headroom.protects(job.spec()) || preemption.pressing(job, expected, loop.wallMillis());
-  }
-
-  /** The job lies within its team's guarantee, the team has less than that, and time runs out. */
-  private boolean claimsGuarantee(Job job, Map<TeamId, Resources> inUse) {
-    Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
-    double waited = (loop.wallMillis() - job.acceptedMillis()) / 1000.0;
-    return guaranteeWithin.filter(within -> waited >= within).isPresent()
-        && ranking().guaranteed(job)
-        && used.plus(job.spec().perTask()).cpus() <= quota.guaranteed(job.spec().team()) + 1e-6;
-  }
-
-  private boolean canMakeRoom(Job job, Delegation delegation) {
-    LeaderBlock block = blocks.get(delegation.block());
-    return block != null
-        && delegation.state() != Delegation.State.ENDED
-        && delegation.told()
-        && delegation.machine().isPresent()
-        && ZoneRules.allowed(job, block.zone())
-        && Preemption.onUsableMachine(
-            job, delegation.machine().map(machine -> block.machines().get(machine)));
-  }
-
-  private void keepHeadroom(List<Room> rooms) {
-    for (Headroom.Kept kept : headroom.kept(loop.now())) {
-      Placer.fill(kept.need(), kept.count(), rooms);
-    }
+  Ranking ranking() {
+    return scheduling.ranking();
   }
 
-  /** The order of the current cycle; between cycles it changes little. */
-  Ranking ranking() {
-    if (ranking.isEmpty()) {
-      ranking =
-          Optional.of(
-              Ranking.of(
-                  jobs.values(),
-                  blame::blamed,
-                  quota.teams(),
-                  around.runTimes(),
-                  loop.wallMillis()));
-    }
-    return ranking.get();
+  /** Has a part of the job's progress stored. */
+  void store(Job job, int chunk) {
+    journal.submit(Keys.progress(job.spec().id(), chunk), new ChunkUnit(job, chunk));
   }
 
   private void sendDigest() {
