--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -34,11 +34,8 @@
 import org.mulleinshift.protocol.peer.AssignedJob;
 import org.mulleinshift.protocol.peer.AssignedTask;
 import org.mulleinshift.protocol.peer.Assignment;
-import org.mulleinshift.protocol.peer.BlockReport;
-import org.mulleinshift.protocol.peer.MachineReport;
 import org.mulleinshift.protocol.peer.RemovedTask;
 import org.mulleinshift.protocol.peer.ReportsSeen;
-import org.mulleinshift.protocol.peer.TaskReport;
 import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.transport.EventLoop;
 import org.mulleinshift.transport.HttpCaller;
@@ -82,16 +79,10 @@
   private final Map<MachineId, HeldMachine> machines = new TreeMap<>();
   private final Map<TaskId, HeldTask> tasks = new LinkedHashMap<>();
   private final Set<HeldTask> unplaced = new LinkedHashSet<>();
-  private final ChangeLog<TaskId> taskNews = new ChangeLog<>();
-  private final ChangeLog<MachineId> machineNews = new ChangeLog<>();
   private Set<MachineId> closed = Set.of();
+  private final BlockReporting reports;
   private long seenTerm;
   private long seenVersion;
-  private long sequence;
-  private long confirmedSequence;
-  private long regularSequence;
-  private long toldVersion;
-  private boolean resend;
   private Revision recordSeen = new Revision(0);
 
   BlockHolder(Surroundings around, BlockId id, Revision grant, BooleanSupplier entitled) {
@@ -102,6 +93,7 @@
     this.entitled = entitled;
     this.startedAt = loop.now();
     this.listeningSince = startedAt;
+    this.reports = new BlockReporting(loop, id, grant, machines, tasks, around.onNews());
   }
 
   Revision grant() {
@@ -152,7 +144,7 @@
     if (task.phase() != TaskPhase.NEW) {
       unplaced.remove(task);
     }
-    taskNews.changed(task.task(), sequence + 1);
+    reports.changed(task.task());
     around.onNews().run();
   }
 
@@ -162,7 +154,7 @@
   }
 
   private void news(MachineId machine) {
-    machineNews.changed(machine, sequence + 1);
+    reports.changed(machine);
     around.onNews().run();
   }
 
@@ -184,10 +176,11 @@
     }
     if (term != seenTerm) {
       // A new leader knows nothing of this block yet.
-      confirmedSequence = 0;
+      reports.unknownToLeader();
     }
     seenTerm = term;
     seenVersion = assignment.getVersion();
+    reports.sawAssignment(seenTerm, seenVersion);
     closed = new HashSet<>();
     assignment.getClosed().forEach(machine -> closed.add(new MachineId(machine)));
     Set<TaskId> named = new HashSet<>();
@@ -216,19 +209,8 @@
 
   /** Up to where the leader knows this block. */
   void onReportsSeen(ReportsSeen seen) {
-    if (seen.getGrant() != grant.value() || seen.getLeaderTerm() < seenTerm) {
-      return;
-    }
-    boolean behind = seen.getSequence() < confirmedSequence;
-    confirmedSequence = seen.getSequence();
-    if (behind || seen.getSequence() == 0) {
-      // Another leader, or one that missed a report: it is told again from there.
-      regularSequence = sequence;
-      resend = true;
-      around.onNews().run();
-    } else {
-      taskNews.confirmed(confirmedSequence);
-      machineNews.confirmed(confirmedSequence);
+    if (seen.getGrant() == grant.value() && seen.getLeaderTerm() >= seenTerm) {
+      reports.seen(seen.getSequence());
     }
   }
 
@@ -254,7 +236,7 @@
               id, attempt, need, job.getSaveSeconds(), job.getRank(), item.getFresh(), loop.now());
       tasks.put(id, known);
       unplaced.add(known);
-      taskNews.changed(id, sequence + 1);
+      reports.changed(id);
     }
     if (item.getStop()) {
       requestStop(known);
@@ -661,66 +643,7 @@
     machine.raiseToken();
   }
 
-  /** Whether there is anything to tell that was not yet sent. */
-  boolean hasNews() {
-    return resend
-        || seenVersion != toldVersion
-        || taskNews.anySince(sequence)
-        || machineNews.anySince(sequence);
-  }
-
-  /** What is new since the last report. */
-  BlockReport newsReport() {
-    return report(resend ? confirmedSequence : sequence);
-  }
-
-  /** Sent even without news; tells again what has stayed unconfirmed since the one before. */
-  BlockReport regularReport() {
-    boolean confirmed = confirmedSequence >= regularSequence && !resend;
-    BlockReport report = report(confirmed ? sequence : confirmedSequence);
-    regularSequence = sequence;
-    return report;
-  }
-
-  private BlockReport report(long base) {
-    resend = false;
-    toldVersion = seenVersion;
-    SteadyTime now = loop.now();
-    List<MachineReport> machineReports = new ArrayList<>();
-    for (MachineId id : base == 0 ? List.copyOf(machines.keySet()) : machineNews.since(base)) {
-      HeldMachine machine = machines.get(id);
-      if (machine != null) {
-        machineReports.add(
-            new MachineReport(
-                id.value(),
-                machine.phase().name(),
-                machine.silence().name(),
-                machine.recalled(),
-                new ArrayList<>(machine.images())));
-      }
-    }
-    List<TaskReport> taskReports = new ArrayList<>();
-    for (TaskId id : base == 0 ? List.copyOf(tasks.keySet()) : taskNews.since(base)) {
-      HeldTask task = tasks.get(id);
-      if (task != null) {
-        taskReports.add(
-            new TaskReport(
-                id.job().value(),
-                id.index(),
-                task.attempt().value(),
-                task.phase().name(),
-                task.machine().map(MachineId::value).orElse(""),
-                task.ranMillis(now)));
-      }
-    }
-    return new BlockReport(
-        id.value(),
-        grant.value(),
-        base,
-        ++sequence,
-        seenTerm,
-        seenVersion,
-        machineReports,
-        taskReports);
+  BlockReporting reports() {
+    return reports;
   }
 }
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/BlockReporting.java
@@ -0,0 +1,145 @@
+package org.mulleinshift.coordination;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.mulleinshift.protocol.BlockId;
+import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.TaskId;
+import org.mulleinshift.protocol.peer.BlockReport;
+import org.mulleinshift.protocol.peer.MachineReport;
+import org.mulleinshift.protocol.peer.TaskReport;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.SteadyTime;
+
+/** What a holder tells the leader of its block: each report holds what is new since another one. */
+final class BlockReporting {
+  private final EventLoop loop;
+  private final BlockId id;
+  private final Revision grant;
+  private final Map<MachineId, HeldMachine> machines;
+  private final Map<TaskId, HeldTask> tasks;
+  private final Runnable onNews;
+  private final ChangeLog<TaskId> taskNews = new ChangeLog<>();
+  private final ChangeLog<MachineId> machineNews = new ChangeLog<>();
+  private long seenTerm;
+  private long seenVersion;
+  private long sequence;
+  private long confirmedSequence;
+  private long regularSequence;
+  private long toldVersion;
+  private boolean resend;
+
+  BlockReporting(
+      EventLoop loop,
+      BlockId id,
+      Revision grant,
+      Map<MachineId, HeldMachine> machines,
+      Map<TaskId, HeldTask> tasks,
+      Runnable onNews) {
+    this.loop = loop;
+    this.id = id;
+    this.grant = grant;
+    this.machines = machines;
+    this.tasks = tasks;
+    this.onNews = onNews;
+  }
+
+  void changed(TaskId task) {
+    taskNews.changed(task, sequence + 1);
+  }
+
+  void changed(MachineId machine) {
+    machineNews.changed(machine, sequence + 1);
+  }
+
+  /** A new leader knows nothing of this block yet. */
+  void unknownToLeader() {
+    confirmedSequence = 0;
+  }
+
+  /** The assignment that the next report confirms. */
+  void sawAssignment(long term, long version) {
+    seenTerm = term;
+    seenVersion = version;
+  }
+
+  /** The leader knows the block up to this report. */
+  void seen(long upTo) {
+    boolean behind = upTo < confirmedSequence;
+    confirmedSequence = upTo;
+    if (behind || upTo == 0) {
+      // Another leader, or one that missed a report: it is told again from there.
+      regularSequence = sequence;
+      resend = true;
+      onNews.run();
+    } else {
+      taskNews.confirmed(confirmedSequence);
+      machineNews.confirmed(confirmedSequence);
+    }
+  }
+
+  /** Whether there is anything to tell that was not yet sent. */
+  boolean hasNews() {
+    return resend
+        || seenVersion != toldVersion
+        || taskNews.anySince(sequence)
+        || machineNews.anySince(sequence);
+  }
+
+  /** What is new since the last report. */
+  BlockReport newsReport() {
+    return report(resend ? confirmedSequence : sequence);
+  }
+
+  /** Sent even without news; tells again what has stayed unconfirmed since the one before. */
+  BlockReport regularReport() {
+    boolean confirmed = confirmedSequence >= regularSequence && !resend;
+    BlockReport report = report(confirmed ? sequence : confirmedSequence);
+    regularSequence = sequence;
+    return report;
+  }
+
+  private BlockReport report(long base) {
+    resend = false;
+    toldVersion = seenVersion;
+    SteadyTime now = loop.now();
+    List<MachineReport> machineReports = new ArrayList<>();
+    for (MachineId id : base == 0 ? List.copyOf(machines.keySet()) : machineNews.since(base)) {
+      HeldMachine machine = machines.get(id);
+      if (machine != null) {
+        machineReports.add(
+            new MachineReport(
+                id.value(),
+                machine.phase().name(),
+                machine.silence().name(),
+                machine.recalled(),
+                new ArrayList<>(machine.images())));
+      }
+    }
+    List<TaskReport> taskReports = new ArrayList<>();
+    for (TaskId id : base == 0 ? List.copyOf(tasks.keySet()) : taskNews.since(base)) {
+      HeldTask task = tasks.get(id);
+      if (task != null) {
+        taskReports.add(
+            new TaskReport(
+                id.job().value(),
+                id.index(),
+                task.attempt().value(),
+                task.phase().name(),
+                task.machine().map(MachineId::value).orElse(""),
+                task.ranMillis(now)));
+      }
+    }
+    return new BlockReport(
+        id.value(),
+        grant.value(),
+        base,
+        ++sequence,
+        seenTerm,
+        seenVersion,
+        machineReports,
+        taskReports);
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/HolderDesk.java
+++ b/src/main/java/org/mulleinshift/coordination/HolderDesk.java
@@ -109,7 +109,7 @@
 
   private void reportRegularly() {
     loop.after(REPORT_AT_LEAST, this::reportRegularly);
-    held.values().forEach(holder -> toLeader.accept(holder.regularReport()));
+    held.values().forEach(holder -> toLeader.accept(holder.reports().regularReport()));
   }
 
   /** Something that the leader should know; several changes share a report. */
@@ -127,8 +127,8 @@
 
   private void sendReports() {
     for (BlockHolder holder : held.values()) {
-      if (holder.hasNews()) {
-        toLeader.accept(holder.newsReport());
+      if (holder.reports().hasNews()) {
+        toLeader.accept(holder.reports().newsReport());
       }
     }
   }
