Cycle, walk and reports cost what changed: ids hash in own code, full machines are left out early

Need: at fleet size the leader's loop took most of the processor time: each walk looked at every machine for every group of waiting tasks in every step, twice where a type was scarce, and each cycle built the rooms of full machines. Ids as map keys hashed through method handles. Change: ids have their own equals and hashCode; a room fill looks at each room once; what no room had space for is not asked again (Hopeless); releases lie in a bucket per step; the second walk is left out where no task could move; up machines need no boot outlook; reports are read token by token, and one that repeats the last is only noted; a request to another system leaves in one write. Behaviour: placement is the same but for ties between rooms that free in one step of the walk.

--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -312,6 +312,10 @@
     if (!report.moment().isAfter(machine.moment())) {
       return;
     }
+    if (machine.repeats(report)) {
+      machine.heard(report);
+      return;
+    }
     boolean newSession = report.moment().session() > machine.moment().session();
     if (newSession && machine.moment().session() > 0) {
       LOG.info("{} began session {}", machine.id(), report.moment().session());
@@ -340,6 +344,7 @@
         unlisted(machine, task, newSession, knowsToken);
       }
     }
+    machine.absorbed(report);
   }
 
   /** A task that should be on the machine, but is not in its newest report. */
@@ -371,11 +376,12 @@
       return;
     }
     TaskPhase phase = phaseOf(entry);
-    double cache =
-        around.catalog().type(machine.record().type()).map(MachineType::cacheGb).orElse(0.0);
-    if (phase == TaskPhase.RUNNING
-        && machine.addImage(task.need().image(), task.need().imageGb(), cache)) {
-      news(machine.id());
+    if (phase == TaskPhase.RUNNING) {
+      double cache =
+          around.catalog().type(machine.record().type()).map(MachineType::cacheGb).orElse(0.0);
+      if (machine.addImage(task.need().image(), task.need().imageGb(), cache)) {
+        news(machine.id());
+      }
     }
     if (task.phase() != phase) {
       move(task, phase, machine.id());
@@ -504,22 +510,27 @@
     waiting.sort(Comparator.comparingInt(HeldTask::rank));
     Set<TaskId> straying = new HashSet<>();
     machines.values().forEach(m -> m.strays().forEach(entry -> straying.add(entry.task())));
-    List<Room> rooms = rooms();
-    // What found no room finds none for its like either: rooms only get smaller here.
-    Set<PlacementNeed> hopeless = new HashSet<>();
+    Resources least = Resources.ENDLESS;
+    for (HeldTask task : waiting) {
+      least = Hopeless.least(least, task.need().perTask());
+    }
+    List<Room> rooms = rooms(least);
+    Hopeless hopeless = new Hopeless();
     SteadyTime now = loop.now();
     for (HeldTask task : waiting) {
       if (task.stopRequested() || around.cancelled().test(task.task().job())) {
         finish(task, TaskPhase.STOPPED);
       } else if (!straying.contains(task.task())) {
         Optional<Room> room =
-            hopeless.contains(task.need()) ? Optional.empty() : Placer.choose(task.need(), rooms);
+            hopeless.covers(task.need()) ? Optional.empty() : Placer.choose(task.need(), rooms);
         if (room.isPresent()) {
           room.get().take(task.need());
           move(task, TaskPhase.STARTING, room.get().machine());
           machines.get(room.get().machine()).ordersWaiting(true);
         } else {
-          hopeless.add(task.need());
+          if (!hopeless.covers(task.need())) {
+            hopeless.add(task.need());
+          }
           if (now.isAfter(task.takenAt().plus(UNPLACEABLE))) {
             finish(task, TaskPhase.REJECTED);
           }
@@ -540,25 +551,23 @@
     return true;
   }
 
-  private List<Room> rooms() {
+  /** Where the tasks may go: machines that have at least so much left. */
+  private List<Room> rooms(Resources least) {
     List<Room> rooms = new ArrayList<>();
     SteadyTime now = loop.now();
     for (HeldMachine machine : machines.values()) {
       Optional<MachineType> type = around.catalog().type(machine.record().type());
-      if (type.isEmpty() || !usable(machine, now)) {
+      if (type.isEmpty()) {
+        continue;
+      }
+      Resources free = type.get().size().minus(machine.used());
+      if (!least.fitsInto(free) || !usable(machine, now)) {
         continue;
       }
       Set<String> images = new HashSet<>(machine.images());
       machine.tasks().forEach(task -> images.add(task.need().image()));
       rooms.add(
-          new Room(
-              machine.id(),
-              id,
-              ANY_ZONE,
-              type.get(),
-              machine.record().spot(),
-              type.get().size().minus(machine.used()),
-              images));
+          new Room(machine.id(), id, ANY_ZONE, type.get(), machine.record().spot(), free, images));
     }
     return rooms;
   }
--- a/src/main/java/org/mulleinshift/coordination/Draining.java
+++ b/src/main/java/org/mulleinshift/coordination/Draining.java
@@ -13,6 +13,7 @@
 import org.mulleinshift.bookkeeping.Machine;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineTypeId;
+import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.settings.Tunables;
 import org.mulleinshift.transport.EventLoop;
 import org.slf4j.Logger;
@@ -86,6 +87,9 @@
    * tasks that only fit a large type, of which there are no more, do not keep the small ones up.
    */
   void consolidate(Set<MachineTypeId> wanted) {
+    if (wanted.containsAll(around.catalog().types().keySet())) {
+      return;
+    }
     double held = around.tunables().number(Tunables.Key.MINIMUM_HELD_S);
     double patience = around.tunables().number(Tunables.Key.SPARE_S);
     Map<MachineId, Room> rooms = new HashMap<>();
@@ -122,19 +126,26 @@
   /** Whether the others have room for its tasks; if so, that room is taken and it is left out. */
   private boolean movesElsewhere(Room candidate, Map<MachineId, Room> rooms) {
     Map<MachineId, Room> trial = new HashMap<>();
-    rooms.forEach((id, room) -> trial.put(id, room.copy()));
-    trial.remove(candidate.machine());
     Map<PlacementNeed, Integer> needs = new LinkedHashMap<>();
     for (Delegation delegation : leader.occupancy().on(candidate.machine())) {
       Job job = leader.jobs().get(delegation.task().job());
       needs.merge(PlacementNeed.of(job.spec()), 1, Integer::sum);
     }
+    Resources least = Resources.ENDLESS;
+    for (PlacementNeed need : needs.keySet()) {
+      least = Hopeless.least(least, need.perTask());
+    }
+    for (Room room : rooms.values()) {
+      if (room != candidate && least.fitsInto(room.free())) {
+        trial.put(room.machine(), room.copy());
+      }
+    }
     for (Map.Entry<PlacementNeed, Integer> need : needs.entrySet()) {
       if (Placer.fill(need.getKey(), need.getValue(), trial.values()) < need.getValue()) {
         return false;
       }
     }
-    rooms.clear();
+    rooms.remove(candidate.machine());
     rooms.putAll(trial);
     return true;
   }
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -245,7 +245,8 @@
     if (!scarce.isEmpty()) {
       // Exception to the paper: what only fits a type that is not to be had gets that type's room,
       // and other tasks are rented for elsewhere.
-      found = plan.plan(awayFrom(scarce), horizon);
+      List<Walk.Waiting> moved = awayFrom(scarce, waiting);
+      found = moved.equals(waiting) ? found : plan.plan(moved, horizon);
     }
     List<Walk.Waiting> shortage = found.result().shortage();
     LOG.debug(
@@ -257,7 +258,7 @@
     if (!shortage.isEmpty() && resizeAllowed(found, horizon)) {
       rentFor(shortage);
     }
-    doubtful.keySet().forEach(this::probe);
+    doubtful.keySet().forEach(type -> probe(type, waiting));
     Set<MachineTypeId> wanted = plan.typesFor(waiting);
     draining.reopen(wanted);
     draining.consolidate(wanted);
@@ -282,7 +283,7 @@
   private Set<MachineTypeId> scarceTypes(List<Walk.Waiting> shortage) {
     Set<MachineTypeId> scarce = new HashSet<>();
     for (Walk.Waiting group : shortage) {
-      if (market.bestOffer(group.need(), group.count(), false, Map.of()).isEmpty()) {
+      if (!market.offers(group.need())) {
         for (MachineType type : around.catalog().types().values()) {
           if (group.need().mayUse(type)) {
             scarce.add(type.id());
@@ -293,15 +294,13 @@
     return scarce;
   }
 
-  private List<Walk.Waiting> awayFrom(Set<MachineTypeId> scarce) {
+  private List<Walk.Waiting> awayFrom(Set<MachineTypeId> scarce, List<Walk.Waiting> waiting) {
     List<MachineTypeId> others =
         around.catalog().types().keySet().stream().filter(id -> !scarce.contains(id)).toList();
     List<Walk.Waiting> groups = new ArrayList<>();
-    for (Walk.Waiting group : plan.waiting()) {
+    for (Walk.Waiting group : waiting) {
       PlacementNeed elsewhere = group.need().onlyOn(others);
-      boolean canMove =
-          !elsewhere.types().isEmpty()
-              && market.bestOffer(elsewhere, group.count(), false, Map.of()).isPresent();
+      boolean canMove = !elsewhere.types().isEmpty() && market.offers(elsewhere);
       groups.add(canMove ? group.with(elsewhere) : group);
     }
     return groups;
@@ -346,12 +345,12 @@
    * While no machine of a type comes up any more, those on their way count as room, and only a few
    * are rented, a boot time apart, to see whether that is over: more would be paid for in vain.
    */
-  private void probe(MachineTypeId type) {
+  private void probe(MachineTypeId type, List<Walk.Waiting> waiting) {
     SteadyTime last = probedAt.get(type);
     if (!doubted(type) || (last != null && loop.now().secondsSince(last) < horizon())) {
       return;
     }
-    for (Walk.Waiting group : plan.waiting()) {
+    for (Walk.Waiting group : waiting) {
       PlacementNeed need = group.need().onlyOn(List.of(type));
       Optional<Market.Offer> offer =
           need.types().isEmpty()
--- a/src/main/java/org/mulleinshift/coordination/FleetPlan.java
+++ b/src/main/java/org/mulleinshift/coordination/FleetPlan.java
@@ -70,15 +70,10 @@
                 }
                 Resources size = type.get().size();
                 Machine known = fleet.track(id);
-                BootTimes.Outlook outlook = fleet.outlook(type.get(), known);
-                if (!record.up()
-                    && (outlook == BootTimes.Outlook.LATE
-                        || outlook == BootTimes.Outlook.HOPELESS)) {
-                  // Overdue: it may never come, so it is no room.
+                if (!record.up() && overdue(type.get(), known)) {
+                  // It may never come, so it is no room.
                   return;
                 }
-                double bootLeft =
-                    fleet.boots().expected(type.get()) - known.heldSeconds(loop.now());
                 Room room =
                     Room.on(
                         block,
@@ -92,6 +87,8 @@
                 if (!record.up()) {
                   // Within the horizon even if its type boots slower than that: a machine on its
                   // way that is no room is rented for again with every resize.
+                  double bootLeft =
+                      fleet.boots().expected(type.get()) - known.heldSeconds(loop.now());
                   double at = Math.min(horizon, Math.max(0, bootLeft));
                   releases.add(new Walk.Release(at, room, size));
                 }
@@ -99,6 +96,11 @@
     }
   }
 
+  private boolean overdue(MachineType type, Machine machine) {
+    BootTimes.Outlook outlook = fleet.outlook(type, machine);
+    return outlook == BootTimes.Outlook.LATE || outlook == BootTimes.Outlook.HOPELESS;
+  }
+
   private void collectRentals(List<Room> rooms, List<Walk.Release> releases, double horizon) {
     for (Rental rental : fleet.rentals().expected()) {
       MachineType type = around.catalog().type(rental.type()).orElse(null);
--- a/src/main/java/org/mulleinshift/coordination/FreeRoom.java
+++ b/src/main/java/org/mulleinshift/coordination/FreeRoom.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.mulleinshift.bookkeeping.ControlView.MachineRecord;
 import org.mulleinshift.bookkeeping.Delegation;
@@ -13,6 +14,7 @@
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
+import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.peer.MachineReport;
 
 /** The room that a cycle gives out, and the tasks that wait at holders for more of it. */
@@ -34,16 +36,23 @@
     return ahead;
   }
 
-  /** Free room as the holders report it, less what is delegated and not yet placed. */
-  List<Room> rooms() {
+  /**
+   * Free room as the holders report it, less what is delegated and not yet placed. Machines that
+   * have less left than the least that anybody asks for are left out.
+   */
+  List<Room> rooms(Resources leastAsked) {
     List<Room> rooms = new ArrayList<>();
     ahead.clear();
     for (LeaderBlock block : leader.blocks().values()) {
-      List<Room> found = roomsOf(block);
       Map<JobId, Integer> unplaced = new LinkedHashMap<>();
       for (Delegation delegation : leader.occupancy().unplaced(block.id())) {
         unplaced.merge(delegation.task().job(), 1, Integer::sum);
       }
+      Resources least = leastAsked;
+      for (JobId job : unplaced.keySet()) {
+        least = Hopeless.least(least, leader.jobs().get(job).spec().perTask());
+      }
+      List<Room> found = roomsOf(block, least);
       unplaced.forEach(
           (job, count) -> {
             PlacementNeed need = PlacementNeed.of(leader.jobs().get(job).spec());
@@ -57,30 +66,35 @@
     return rooms;
   }
 
-  List<Room> roomsOf(LeaderBlock block) {
+  /** The rooms of a block's machines that have at least so much left. */
+  List<Room> roomsOf(LeaderBlock block, Resources least) {
     List<Room> found = new ArrayList<>();
-    if (!block.hasReported()) {
-      return found;
-    }
-    for (Map.Entry<MachineId, MachineRecord> entry : block.machines().entrySet()) {
-      MachineId id = entry.getKey();
-      MachineRecord record = entry.getValue();
-      MachineType type = catalog.type(record.type()).orElse(null);
-      MachineReport report = block.reportOf(id).orElse(null);
-      if (type != null && report != null && record.up() && usable(id, report)) {
-        found.add(
-            Room.on(
-                block,
-                id,
-                record,
-                type,
-                type.size().minus(leader.occupancy().used(id)),
-                images(id, report)));
+    if (block.hasReported()) {
+      for (MachineId id : block.machines().keySet()) {
+        roomOf(block, id, least).ifPresent(found::add);
       }
     }
     return found;
   }
 
+  /** What is left of a machine, if it may take tasks and has at least so much. */
+  Optional<Room> roomOf(LeaderBlock block, MachineId id, Resources least) {
+    MachineRecord record = block.machines().get(id);
+    MachineType type = record == null ? null : catalog.type(record.type()).orElse(null);
+    if (type == null || !record.up() || !block.hasReported()) {
+      return Optional.empty();
+    }
+    // Most machines of a busy fleet are full: what else it takes to know them is asked later.
+    Resources free = type.size().minus(leader.occupancy().used(id));
+    if (!least.fitsInto(free)) {
+      return Optional.empty();
+    }
+    return block
+        .reportOf(id)
+        .filter(report -> usable(id, report))
+        .map(report -> Room.on(block, id, record, type, free, images(id, report)));
+  }
+
   /** What the machine has, and what its tasks fetch: like tasks then share the fetch. */
   private Set<String> images(MachineId machine, MachineReport report) {
     Set<String> images = new HashSet<>(report.getImages());
--- a/src/main/java/org/mulleinshift/coordination/HeldMachine.java
+++ b/src/main/java/org/mulleinshift/coordination/HeldMachine.java
@@ -36,6 +36,9 @@
   private final Map<String, Double> images = new LinkedHashMap<>();
   private final Map<TaskId, HeldTask> bound = new LinkedHashMap<>();
   private Resources used = Resources.ZERO;
+  private List<WorkerReport.Entry> absorbed = List.of();
+  private long bindings;
+  private long absorbedBindings = -1;
   private Silence silence = Silence.HEARD;
   private boolean directInFlight;
   private boolean ordersWaiting;
@@ -86,6 +89,27 @@
     recall = report.recall();
   }
 
+  /** All that the report says was taken over. */
+  void absorbed(WorkerReport report) {
+    absorbed = report.tasks();
+    absorbedBindings = bindings;
+  }
+
+  /**
+   * Whether the report says what the last one did, of a machine that is as it should be: then
+   * nothing follows from it but that the machine is there. Most reports are such.
+   */
+  boolean repeats(WorkerReport report) {
+    return bindings == absorbedBindings
+        && phase == MachinePhase.CONFIRMED
+        && strays.isEmpty()
+        && report.moment().session() == moment.session()
+        && report.recall().isPresent() == recall.isPresent()
+        && report.highestToken().compareTo(token) >= 0
+        && report.tasks().size() == bound.size()
+        && report.tasks().equals(absorbed);
+  }
+
   /** A report came, whether or not this node may answer it. */
   void reached(SteadyTime now) {
     reachedAt = Optional.of(now);
@@ -121,12 +145,14 @@
   }
 
   void bind(HeldTask task) {
+    bindings++;
     if (bound.put(task.task(), task) == null) {
       used = used.plus(task.need().perTask());
     }
   }
 
   void release(HeldTask task) {
+    bindings++;
     if (bound.remove(task.task(), task)) {
       used = bound.isEmpty() ? Resources.ZERO : used.minus(task.need().perTask());
     }
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -24,6 +24,7 @@
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
@@ -496,7 +497,7 @@
           block.id(),
           block.grant().map(Object::toString).orElse("not held"),
           loop.now().since(block.reportedAt()).toMillis(),
-          freeRoom.roomsOf(block).size(),
+          freeRoom.roomsOf(block, Resources.ZERO).size(),
           block.machines().size(),
           block.told().size() + " tasks");
     }
--- a/src/main/java/org/mulleinshift/coordination/Market.java
+++ b/src/main/java/org/mulleinshift/coordination/Market.java
@@ -66,6 +66,21 @@
     return Optional.ofNullable(best);
   }
 
+  /** Whether any machine that such a task fits and may be on is to be had. */
+  boolean offers(PlacementNeed need) {
+    return catalog.types().values().stream()
+        .filter(need::mayUse)
+        .anyMatch(
+            type ->
+                type.zones().stream()
+                    .filter(need::allowsZone)
+                    .anyMatch(
+                        zone ->
+                            available(new Offer(type.id(), zone, false))
+                                || (need.spotAllowed()
+                                    && available(new Offer(type.id(), zone, true)))));
+  }
+
   private boolean available(Offer offer) {
     SteadyTime until = refusedUntil.get(offer);
     return until == null || !until.isAfter(loop.now());
--- a/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
+++ b/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
@@ -37,6 +37,13 @@
     return perTask.fitsInto(type.size()) && allowsType(type.id());
   }
 
+  /** Every machine that the other may be on, this may be on. */
+  boolean allowsAllOf(PlacementNeed other) {
+    return (types.isEmpty() || types.equals(other.types))
+        && (zone.isEmpty() || zone.equals(other.zone))
+        && (spotAllowed || !other.spotAllowed);
+  }
+
   boolean allowsType(MachineTypeId type) {
     return types.isEmpty() || types.contains(type);
   }
--- a/src/main/java/org/mulleinshift/coordination/Placer.java
+++ b/src/main/java/org/mulleinshift/coordination/Placer.java
@@ -1,7 +1,10 @@
 package org.mulleinshift.coordination;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
+import java.util.PriorityQueue;
 
 /** Chooses a machine for a task; the leader's plans and the holders' placements share it. */
 final class Placer {
@@ -12,25 +15,49 @@
     void take(Room room, int count);
   }
 
+  /** A room that takes the tasks; of equal ones the first is chosen. */
+  private record Scored(Room room, double score, int place) implements Comparable<Scored> {
+    @Override
+    public int compareTo(Scored other) {
+      int byScore = Double.compare(score, other.score);
+      return byScore != 0 ? byScore : Integer.compare(place, other.place);
+    }
+  }
+
   /**
    * Takes room for up to so many equal tasks; tells for how many. The outcome is that of choosing
-   * for each task anew: a room that was chosen only becomes a better choice, until it is full.
+   * for each task anew: a room that was chosen only becomes a better choice, until it is full, and
+   * the others stay as they are. So each room is looked at once, however many tasks there are.
    */
   static int fill(PlacementNeed need, int count, Collection<Room> rooms, Taker taker) {
-    int left = count;
-    while (left > 0) {
-      Room room = choose(need, rooms).orElse(null);
-      if (room == null) {
-        break;
+    Room best = choose(need, rooms).orElse(null);
+    if (best == null || count <= 0) {
+      return 0;
+    }
+    int left = count - take(need, count, best, taker);
+    if (left == 0) {
+      return count;
+    }
+    List<Scored> others = new ArrayList<>();
+    for (Room room : rooms) {
+      if (room != best && room.takes(need)) {
+        others.add(new Scored(room, room.score(need), others.size()));
       }
-      int taken = Math.min(left, room.countOf(need));
-      room.take(need, taken);
-      taker.take(room, taken);
-      left -= taken;
+    }
+    PriorityQueue<Scored> next = new PriorityQueue<>(others);
+    while (left > 0 && !next.isEmpty()) {
+      left -= take(need, left, next.poll().room(), taker);
     }
     return count - left;
   }
 
+  private static int take(PlacementNeed need, int most, Room room, Taker taker) {
+    int taken = Math.min(most, room.countOf(need));
+    room.take(need, taken);
+    taker.take(room, taken);
+    return taken;
+  }
+
   /** The same where it does not matter on which machines. */
   static int fill(PlacementNeed need, int count, Collection<Room> rooms) {
     return fill(need, count, rooms, (room, taken) -> {});
--- a/src/main/java/org/mulleinshift/coordination/Room.java
+++ b/src/main/java/org/mulleinshift/coordination/Room.java
@@ -31,7 +31,7 @@
   private final boolean spot;
   private final Resources size;
   private final Collection<String> known;
-  private final Set<String> coming = new HashSet<>(2);
+  private Set<String> coming = Set.of();
   private final double dearness;
   private Resources free;
 
@@ -83,8 +83,11 @@
   }
 
   void take(PlacementNeed need, int count) {
-    free = free.minus(need.perTask().times(count));
-    coming.add(need.image());
+    free = free.minus(count == 1 ? need.perTask() : need.perTask().times(count));
+    if (!coming.contains(need.image())) {
+      coming = coming.isEmpty() ? new HashSet<>(4) : coming;
+      coming.add(need.image());
+    }
   }
 
   void give(Resources amount) {
@@ -138,7 +141,7 @@
   /** The same room, to be taken from in a trial. */
   Room copy() {
     Room copy = new Room(machine, block, zone, type, spot, free, known);
-    copy.coming.addAll(coming);
+    copy.coming = coming.isEmpty() ? coming : new HashSet<>(coming);
     return copy;
   }
 
--- a/src/main/java/org/mulleinshift/coordination/SchedulingCycle.java
+++ b/src/main/java/org/mulleinshift/coordination/SchedulingCycle.java
@@ -10,6 +10,7 @@
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.protocol.Attempt;
+import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobKind;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.Resources;
@@ -36,6 +37,7 @@
   private final Optional<Double> guaranteeWithin;
   private final double aheadSeconds;
   private Optional<Ranking> ranking = Optional.empty();
+  private Hopeless hopeless = new Hopeless();
 
   SchedulingCycle(Leader leader, Leader.Surroundings around, Revision term, FreeRoom freeRoom) {
     this.leader = leader;
@@ -60,10 +62,11 @@
 
   void cycle() {
     ranking = Optional.empty();
-    List<Room> rooms = freeRoom.rooms();
+    List<Job> order = ranking().order();
+    List<Room> rooms = freeRoom.rooms(leastAsked(order));
     Map<TeamId, Resources> inUse = Quota.use(leader.jobs().values());
     Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + 1);
-    List<Job> order = ranking().order();
+    hopeless = new Hopeless();
     for (Job job : order) {
       if (job.state() == Job.State.ACTIVE && headroom.protects(job.spec())) {
         delegate(job, rooms, inUse, attempt);
@@ -80,6 +83,20 @@
     delegateAhead(order, rooms, inUse, attempt);
   }
 
+  /** Of each kind the least that a waiting task, or one that room is kept for, takes. */
+  private Resources leastAsked(List<Job> order) {
+    Resources least = Resources.ENDLESS;
+    for (Job job : order) {
+      if (job.state() == Job.State.ACTIVE && job.waitingCount() > 0) {
+        least = Hopeless.least(least, job.spec().perTask());
+      }
+    }
+    for (Headroom.Kept kept : headroom.kept(loop.now())) {
+      least = Hopeless.least(least, kept.need().perTask());
+    }
+    return least;
+  }
+
   private void delegate(Job job, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
     TeamId team = job.spec().team();
     Resources used = inUse.getOrDefault(team, Resources.ZERO);
@@ -93,22 +110,32 @@
         && !ZoneRules.gangFits(job, need, rooms, allowed, loop.now())) {
       return;
     }
+    // Where each task changes which zones are left, they are placed one by one.
+    boolean oneByOne = job.spec().spread() || job.spec().oneZone();
+    if (!oneByOne && hopeless.covers(need)) {
+      return;
+    }
     int[] waiting = job.waiting(allowed, loop.now());
-    int placed = 0;
     Set<Integer> chunks = new HashSet<>();
-    while (placed < waiting.length) {
-      Room room = Placer.choose(need, allowedRooms(job, rooms)).orElse(null);
-      if (room == null) {
-        break;
+    int[] next = {0};
+    Placer.Taker taker =
+        (room, count) -> {
+          for (int i = 0; i < count; i++) {
+            int index = waiting[next[0]++];
+            leader.occupancy().enter(job.delegate(index, room.block(), room.zone(), attempt));
+            chunks.add(Job.chunkOf(index));
+          }
+        };
+    int placed = 0;
+    if (oneByOne) {
+      while (placed < waiting.length
+          && Placer.fill(need, 1, allowedRooms(job, rooms), taker) == 1) {
+        placed++;
       }
-      // Where each task changes which zones are left, they are placed one by one.
-      boolean oneByOne = job.spec().spread() || job.spec().oneZone();
-      int count = oneByOne ? 1 : Math.min(room.countOf(need), waiting.length - placed);
-      room.take(need, count);
-      for (int i = 0; i < count; i++) {
-        int index = waiting[placed++];
-        leader.occupancy().enter(job.delegate(index, room.block(), room.zone(), attempt));
-        chunks.add(Job.chunkOf(index));
+    } else {
+      placed = Placer.fill(need, waiting.length, allowedRooms(job, rooms), taker);
+      if (placed < waiting.length) {
+        hopeless.add(need);
       }
     }
     inUse.put(team, used.plus(job.spec().perTask().times(placed)));
@@ -131,12 +158,19 @@
     Map<MachineId, Room> byMachine = new HashMap<>();
     rooms.forEach(room -> byMachine.put(room.machine(), room));
     for (Job job : order) {
-      freeSoon(job)
-          .forEach(
-              delegation ->
-                  Optional.ofNullable(byMachine.get(delegation.machine().get()))
-                      .ifPresent(room -> room.give(delegation.perTask())));
+      for (Delegation delegation : freeSoon(job)) {
+        MachineId machine = delegation.machine().get();
+        Room room = byMachine.get(machine);
+        if (room == null) {
+          room = fullRoom(delegation.block(), machine);
+          byMachine.put(machine, room);
+          Optional.ofNullable(room).ifPresent(rooms::add);
+        }
+        Optional.ofNullable(room).ifPresent(found -> found.give(delegation.perTask()));
+      }
     }
+    // Rooms have grown.
+    hopeless = new Hopeless();
     for (FreeRoom.Ahead known : freeRoom.ahead()) {
       List<Room> own = rooms.stream().filter(room -> room.block().equals(known.block())).toList();
       Placer.fill(known.need(), known.count(), own);
@@ -148,6 +182,13 @@
     }
   }
 
+  /** A machine's room that was left out since too little of it is left; none if it is unusable. */
+  private Room fullRoom(BlockId block, MachineId machine) {
+    return Optional.ofNullable(leader.blocks().get(block))
+        .flatMap(found -> freeRoom.roomOf(found, machine, Resources.ZERO))
+        .orElse(null);
+  }
+
   /** Where the other tasks are decides where a task may go: then it is not sent ahead. */
   private static boolean mayWaitAtHolder(Job job) {
     return job.state() == Job.State.ACTIVE
--- a/src/main/java/org/mulleinshift/coordination/Walk.java
+++ b/src/main/java/org/mulleinshift/coordination/Walk.java
@@ -1,11 +1,9 @@
 package org.mulleinshift.coordination;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Set;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.Resources;
@@ -16,42 +14,20 @@
  */
 final class Walk {
   /** Room that becomes free later. */
-  record Release(double atSeconds, Room room, Resources amount) implements Comparable<Release> {
-    @Override
-    public int compareTo(Release other) {
-      return Double.compare(atSeconds, other.atSeconds);
-    }
-  }
-
-  /** Waiting tasks of one job that may start. */
-  static final class Waiting {
-    private final PlacementNeed need;
-    private final double runSeconds;
-    private final boolean patient;
-    private int count;
-
-    Waiting(PlacementNeed need, double runSeconds, boolean patient, int count) {
-      this.need = need;
-      this.runSeconds = runSeconds;
-      this.patient = patient;
-      this.count = count;
-    }
-
-    /** Waits for cheap machines rather than rent dear ones. */
-    boolean patient() {
-      return patient;
-    }
-
-    PlacementNeed need() {
-      return need;
-    }
+  record Release(double atSeconds, Room room, Resources amount) {}
 
+  /**
+   * Waiting tasks of one job that may start.
+   *
+   * @param patient waits for cheap machines rather than rent dear ones
+   */
+  record Waiting(PlacementNeed need, double runSeconds, boolean patient, int count) {
     Waiting with(PlacementNeed other) {
       return new Waiting(other, runSeconds, patient, count);
     }
 
-    int count() {
-      return count;
+    Waiting with(int left) {
+      return new Waiting(need, runSeconds, patient, left);
     }
   }
 
@@ -62,42 +38,70 @@
 
   static Result run(
       List<Room> rooms, List<Release> releases, List<Waiting> waiting, double horizon, int steps) {
-    PriorityQueue<Release> due = new PriorityQueue<>(releases);
+    List<List<Release>> due = new ArrayList<>();
+    for (int step = 0; step <= steps; step++) {
+      due.add(new ArrayList<>());
+    }
+    for (Release release : releases) {
+      put(release, due, horizon, 0);
+    }
+    Resources least = Resources.ENDLESS;
+    for (Waiting group : waiting) {
+      least = Hopeless.least(least, group.need.perTask());
+    }
+    int[] left = waiting.stream().mapToInt(Waiting::count).toArray();
     Set<MachineId> used = new HashSet<>();
     for (int step = 0; step <= steps; step++) {
       double time = horizon * step / steps;
       // What found no room before can only find it where some became free since.
-      Collection<Room> grown = step == 0 ? rooms : new LinkedHashSet<>();
-      while (!due.isEmpty() && due.peek().atSeconds() <= time) {
-        Release release = due.poll();
+      Set<Room> grown = new LinkedHashSet<>();
+      for (Release release : due.get(step)) {
         release.room().give(release.amount());
-        if (step > 0) {
-          grown.add(release.room());
+        grown.add(release.room());
+      }
+      List<Room> open = new ArrayList<>();
+      for (Room room : step == 0 ? rooms : grown) {
+        if (least.fitsInto(room.free())) {
+          open.add(room);
         }
       }
-      for (Waiting group : waiting) {
-        if (group.count > 0 && !grown.isEmpty()) {
-          group.count -=
+      Hopeless hopeless = new Hopeless();
+      int next = step + 1;
+      for (int i = 0; i < left.length && !open.isEmpty(); i++) {
+        Waiting group = waiting.get(i);
+        if (left[i] > 0 && !hopeless.covers(group.need)) {
+          left[i] -=
               Placer.fill(
                   group.need,
-                  group.count,
-                  grown,
+                  left[i],
+                  open,
                   (room, count) -> {
                     used.add(room.machine());
-                    double end = time + group.runSeconds;
-                    if (end <= horizon) {
-                      due.add(new Release(end, room, group.need.perTask().times(count)));
-                    }
+                    Resources freed = group.need.perTask().times(count);
+                    put(new Release(time + group.runSeconds, room, freed), due, horizon, next);
                   });
+          if (left[i] > 0) {
+            hopeless.add(group.need);
+          }
         }
       }
     }
     List<Waiting> shortage = new ArrayList<>();
-    for (Waiting group : waiting) {
-      if (group.count > 0) {
-        shortage.add(group);
+    for (int i = 0; i < left.length; i++) {
+      if (left[i] > 0) {
+        shortage.add(waiting.get(i).with(left[i]));
       }
     }
     return new Result(shortage, used);
   }
+
+  /** Into the first step from then on; what ends beyond the horizon is of no use. */
+  private static void put(Release release, List<List<Release>> due, double horizon, int earliest) {
+    int last = due.size() - 1;
+    double share = horizon > 0 ? release.atSeconds() / horizon : 0;
+    int step = (int) Math.max(earliest, Math.ceil(Math.min(1e6, share * last)));
+    if (release.atSeconds() <= horizon && step <= last) {
+      due.get(step).add(release);
+    }
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/Attempt.java
+++ b/src/main/java/org/mulleinshift/protocol/Attempt.java
@@ -11,4 +11,14 @@
   public String toString() {
     return Long.toString(value);
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Attempt number && number.value == value;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(value);
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/BlockId.java
+++ b/src/main/java/org/mulleinshift/protocol/BlockId.java
@@ -11,4 +11,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof BlockId id && id.value.equals(value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/FencingToken.java
+++ b/src/main/java/org/mulleinshift/protocol/FencingToken.java
@@ -11,4 +11,14 @@
   public String toString() {
     return Long.toString(value);
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof FencingToken number && number.value == value;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(value);
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/HoldId.java
+++ b/src/main/java/org/mulleinshift/protocol/HoldId.java
@@ -11,4 +11,14 @@
   public String toString() {
     return Long.toString(value);
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof HoldId number && number.value == value;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(value);
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/JobId.java
+++ b/src/main/java/org/mulleinshift/protocol/JobId.java
@@ -11,4 +11,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof JobId id && id.value.equals(value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/Json.java
+++ b/src/main/java/org/mulleinshift/protocol/Json.java
@@ -1,6 +1,7 @@
 package org.mulleinshift.protocol;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -8,6 +9,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 
 /** Reading of JSON trees with checked fields. */
 public final class Json {
@@ -35,6 +37,11 @@
     }
   }
 
+  /** Reads the text token by token. */
+  static JsonParser parser(String text) throws IOException {
+    return MAPPER.getFactory().createParser(text);
+  }
+
   /** Reads one JSON object. */
   public static JsonNode parseObject(String text) throws BadMessage {
     JsonNode node;
--- a/src/main/java/org/mulleinshift/protocol/MachineId.java
+++ b/src/main/java/org/mulleinshift/protocol/MachineId.java
@@ -11,4 +11,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof MachineId id && id.value.equals(value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/MachineTypeId.java
+++ b/src/main/java/org/mulleinshift/protocol/MachineTypeId.java
@@ -11,4 +11,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof MachineTypeId id && id.value.equals(value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/NodeId.java
+++ b/src/main/java/org/mulleinshift/protocol/NodeId.java
@@ -11,4 +11,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof NodeId id && id.value.equals(value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- /dev/null
+++ b/src/main/java/org/mulleinshift/protocol/ReportParser.java
@@ -0,0 +1,208 @@
+package org.mulleinshift.protocol;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Reads one worker's report token by token. Reports are what a controller reads most, so no tree is
+ * built of them. Fields it does not know are skipped; a field named twice is an error.
+ */
+final class ReportParser {
+  private static final double LONGEST_RECALL_SECONDS = 1e9;
+
+  private final JsonParser in;
+  private final Set<String> seen = new HashSet<>();
+  private String machine;
+  private String address;
+  private String type;
+  private String zone;
+  private Boolean spot;
+  private long session = -1;
+  private long sequence = -1;
+  private long token = -1;
+  private Optional<Duration> recall = Optional.empty();
+  private List<WorkerReport.Entry> tasks;
+
+  private ReportParser(JsonParser in) {
+    this.in = in;
+  }
+
+  static WorkerReport parse(String body) throws BadMessage {
+    try (JsonParser in = Json.parser(body)) {
+      return new ReportParser(in).report();
+    } catch (IOException e) {
+      throw new BadMessage("not JSON");
+    }
+  }
+
+  private WorkerReport report() throws IOException, BadMessage {
+    if (in.nextToken() != JsonToken.START_OBJECT) {
+      throw new BadMessage("not an object");
+    }
+    for (String key = in.nextFieldName(); key != null; key = in.nextFieldName()) {
+      in.nextToken();
+      field(key);
+      once(seen, key);
+    }
+    if (!in.hasToken(JsonToken.END_OBJECT) || in.nextToken() != null) {
+      throw new BadMessage("not JSON");
+    }
+    if (tasks == null) {
+      throw new BadMessage("pieces is missing");
+    }
+    return new WorkerReport(
+        new MachineId(given(machine, "host")),
+        given(address, "addr"),
+        new MachineTypeId(given(type, "build")),
+        new ZoneId(given(zone, "yard")),
+        given(spot, "loaner"),
+        new WorkerMoment(given(session, "shift"), given(sequence, "tick")),
+        new FencingToken(given(token, "baton")),
+        recall,
+        tasks);
+  }
+
+  private void field(String key) throws IOException, BadMessage {
+    switch (key) {
+      case "host" -> machine = text(key);
+      case "addr" -> address = text(key);
+      case "build" -> type = text(key);
+      case "yard" -> zone = text(key);
+      case "loaner" -> spot = flag(key);
+      case "shift" -> session = count(key);
+      case "tick" -> sequence = count(key);
+      case "baton" -> token = count(key);
+      case "recall_s" -> recall = recall(key);
+      case "pieces" -> tasks = entries();
+      default -> in.skipChildren();
+    }
+  }
+
+  private List<WorkerReport.Entry> entries() throws IOException, BadMessage {
+    if (!in.hasToken(JsonToken.START_ARRAY)) {
+      throw new BadMessage("pieces is missing");
+    }
+    List<WorkerReport.Entry> found = new ArrayList<>(8);
+    while (in.nextToken() != JsonToken.END_ARRAY) {
+      found.add(entry());
+    }
+    return found;
+  }
+
+  private WorkerReport.Entry entry() throws IOException, BadMessage {
+    if (!in.hasToken(JsonToken.START_OBJECT)) {
+      throw new BadMessage("piece is missing or not a short text");
+    }
+    TaskId task = null;
+    long attempt = -1;
+    WorkerReport.State state = null;
+    WorkerReport.Cause cause = null;
+    for (String key = in.nextFieldName(); key != null; key = in.nextFieldName()) {
+      in.nextToken();
+      switch (key) {
+        case "piece" -> task = unset(task, taskId(text(key)), key);
+        case "try" -> {
+          unset(attempt < 0 ? null : key, key, key);
+          attempt = count(key);
+        }
+        case "phase" -> state = unset(state, WorkerCodec.state(text(key)), key);
+        case "cause" -> cause = unset(cause, causeOf(key), key);
+        default -> in.skipChildren();
+      }
+    }
+    return new WorkerReport.Entry(
+        given(task, "piece"),
+        new Attempt(given(attempt, "try")),
+        given(state, "phase"),
+        cause == null ? WorkerReport.Cause.NONE : cause);
+  }
+
+  private WorkerReport.Cause causeOf(String key) throws IOException, BadMessage {
+    return in.hasToken(JsonToken.VALUE_NULL)
+        ? WorkerReport.Cause.NONE
+        : WorkerCodec.cause(text(key));
+  }
+
+  private static TaskId taskId(String name) throws BadMessage {
+    int slash = name.lastIndexOf('/');
+    int index;
+    try {
+      index = Integer.parseInt(name.substring(slash + 1));
+    } catch (NumberFormatException e) {
+      throw new BadMessage("piece is not a task id");
+    }
+    if (slash <= 0 || index < 0) {
+      throw new BadMessage("piece is not a task id");
+    }
+    return new TaskId(new JobId(name.substring(0, slash)), index);
+  }
+
+  private Optional<Duration> recall(String key) throws IOException, BadMessage {
+    if (in.hasToken(JsonToken.VALUE_NULL)) {
+      return Optional.empty();
+    }
+    double seconds = in.currentToken().isNumeric() ? in.getDoubleValue() : Double.NaN;
+    if (!(seconds >= 0 && seconds <= LONGEST_RECALL_SECONDS)) {
+      throw new BadMessage(key + " is missing or not an amount");
+    }
+    return Optional.of(Duration.ofMillis((long) (seconds * 1000)));
+  }
+
+  private String text(String key) throws IOException, BadMessage {
+    String value = in.hasToken(JsonToken.VALUE_STRING) ? in.getText() : "";
+    if (value.isEmpty() || value.length() > Json.LONGEST_NAME) {
+      throw new BadMessage(key + " is missing or not a short text");
+    }
+    return value;
+  }
+
+  private long count(String key) throws IOException, BadMessage {
+    if (!in.hasToken(JsonToken.VALUE_NUMBER_INT)
+        || in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+        || in.getLongValue() < 0) {
+      throw new BadMessage(key + " is missing or out of range");
+    }
+    return in.getLongValue();
+  }
+
+  private boolean flag(String key) throws BadMessage {
+    if (!in.currentToken().isBoolean()) {
+      throw new BadMessage(key + " is missing or not a boolean");
+    }
+    return in.hasToken(JsonToken.VALUE_TRUE);
+  }
+
+  private static void once(Set<String> seen, String key) throws BadMessage {
+    if (!seen.add(key)) {
+      throw new BadMessage(key + " is given twice");
+    }
+  }
+
+  private static <T> T unset(T before, T now, String key) throws BadMessage {
+    if (before != null) {
+      throw new BadMessage(key + " is given twice");
+    }
+    return now;
+  }
+
+  private static <T> T given(T value, String key) throws BadMessage {
+    if (value == null) {
+      throw new BadMessage(key + " is missing");
+    }
+    return value;
+  }
+
+  private static long given(long value, String key) throws BadMessage {
+    if (value < 0) {
+      throw new BadMessage(key + " is missing or out of range");
+    }
+    return value;
+  }
+}
--- a/src/main/java/org/mulleinshift/protocol/Resources.java
+++ b/src/main/java/org/mulleinshift/protocol/Resources.java
@@ -3,6 +3,8 @@
 /** Amounts that a task takes and a machine has. */
 public record Resources(double cpus, double gpus, double memoryGb) {
   public static final Resources ZERO = new Resources(0, 0, 0);
+  public static final Resources ENDLESS =
+      new Resources(Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
   private static final double SLACK = 1e-6;
 
   public Resources plus(Resources other) {
@@ -23,6 +25,11 @@
         && memoryGb <= room.memoryGb + SLACK;
   }
 
+  /** No more of anything than the other; exact, unlike {@link #fitsInto}. */
+  public boolean within(Resources other) {
+    return cpus <= other.cpus && gpus <= other.gpus && memoryGb <= other.memoryGb;
+  }
+
   /** The largest share that this takes of any amount of the whole. */
   public double shareOf(Resources whole) {
     double share = 0;
--- a/src/main/java/org/mulleinshift/protocol/Revision.java
+++ b/src/main/java/org/mulleinshift/protocol/Revision.java
@@ -11,4 +11,14 @@
   public String toString() {
     return Long.toString(value);
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof Revision number && number.value == value;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(value);
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/TaskId.java
+++ b/src/main/java/org/mulleinshift/protocol/TaskId.java
@@ -12,4 +12,14 @@
   public String toString() {
     return job.value() + "/" + index;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TaskId id && id.index == index && id.job.equals(job);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * job.hashCode() + index;
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/TeamId.java
+++ b/src/main/java/org/mulleinshift/protocol/TeamId.java
@@ -11,4 +11,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof TeamId id && id.value.equals(value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/WorkerReport.java
+++ b/src/main/java/org/mulleinshift/protocol/WorkerReport.java
@@ -38,5 +38,19 @@
   }
 
   /** One task on the machine. */
-  public record Entry(TaskId task, Attempt attempt, State state, Cause cause) {}
+  public record Entry(TaskId task, Attempt attempt, State state, Cause cause) {
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Entry entry
+          && entry.state == state
+          && entry.cause == cause
+          && entry.attempt.equals(attempt)
+          && entry.task.equals(task);
+    }
+
+    @Override
+    public int hashCode() {
+      return task.hashCode();
+    }
+  }
 }
--- a/src/main/java/org/mulleinshift/protocol/ZoneId.java
+++ b/src/main/java/org/mulleinshift/protocol/ZoneId.java
@@ -11,4 +11,14 @@
   public String toString() {
     return value;
   }
+
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ZoneId id && id.value.equals(value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
 }
--- a/src/main/java/org/mulleinshift/transport/JdkHttpCaller.java
+++ b/src/main/java/org/mulleinshift/transport/JdkHttpCaller.java
@@ -74,7 +74,7 @@
         byte[] bytes = request.body().get().getBytes(StandardCharsets.UTF_8);
         connection.setDoOutput(true);
         connection.setRequestProperty("Content-Type", "application/json");
-        connection.setFixedLengthStreamingMode(bytes.length);
+        // Not streamed: so that head and body leave in one write.
         try (OutputStream out = connection.getOutputStream()) {
           out.write(bytes);
         }
