--- a/src/main/java/org/mulleinshift/coordination/Catalog.java
+++ b/src/main/java/org/mulleinshift/coordination/Catalog.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
 import org.mulleinshift.protocol.BadMessage;
@@ -62,14 +61,6 @@
     return Optional.ofNullable(types.get(id));
   }
 
-  /** The listed boot time of the type that boots in the shortest. */
-  Duration quickestBoot() {
-    return types.values().stream()
-        .map(MachineType::boot)
-        .min(Comparator.naturalOrder())
-        .orElse(Duration.ZERO);
-  }
-
   Map<MachineTypeId, MachineType> types() {
     return types;
   }
--- a/src/main/java/org/mulleinshift/coordination/Headroom.java
+++ b/src/main/java/org/mulleinshift/coordination/Headroom.java
@@ -32,18 +32,9 @@
   private final double share;
   private final Duration lasting;
 
-  /**
-   * A start aim that leaves as much time as a machine needs to boot is met by renting, or by the
-   * room that frees meanwhile: for it no room is kept, and nothing is stopped that has more time.
-   */
-  Headroom(
-      List<PlatformSettings.Objective> objectives,
-      double share,
-      Duration lasting,
-      Duration quickestBoot) {
-    double soon = quickestBoot.toMillis() / 1000.0;
+  Headroom(List<PlatformSettings.Objective> objectives, double share, Duration lasting) {
     for (PlatformSettings.Objective objective : objectives) {
-      if (objective.kind().equals("wait") && (soon <= 0 || objective.withinSeconds() < soon)) {
+      if (objective.kind().equals("wait")) {
         objective.jobClass().ifPresent(classes::add);
       }
     }
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -130,8 +130,7 @@
         new Headroom(
             around.settings().cluster().objectives(),
             around.tunables().number(Tunables.Key.HEADROOM_JOBS),
-            around.tunables().seconds(Tunables.Key.HEADROOM_LASTS_S),
-            around.catalog().quickestBoot());
+            around.tunables().seconds(Tunables.Key.HEADROOM_LASTS_S));
     this.scheduling = new SchedulingCycle(this, around, term, freeRoom);
     this.fleet = new Fleet(this, around, cloud, term);
     this.fitness = new HolderFitness(around.workersSilent());
