The class archive is recorded while one controller leads, rents and runs; run needs no argument parser

Of what a controller loads, 314 classes came from the jar, not from the archive: the scheduler's own, since the rehearsal met no state service and no cloud, and the argument parser's, whose class files are too old for an archive. Change: the rehearsal has a small state service, a cloud, a machine and a user of its own on free ports; '--config FILE' alone goes past the parser, all else through it as before.

--- a/src/main/java/org/mulleinshift/Main.java
+++ b/src/main/java/org/mulleinshift/Main.java
@@ -38,13 +38,14 @@
     versionProvider = Main.Version.class,
     sortOptions = false)
 public final class Main implements Callable<Integer> {
+  private static final String CONFIG = "--config";
   private static final int BAD_SETTINGS = 2;
   private static final int CANNOT_LISTEN = 1;
   private static final Duration PEER_ACK = Duration.ofMillis(2500);
   private static final InetSocketAddress ANY_PORT = new InetSocketAddress("127.0.0.1", 0);
 
   @Option(
-      names = "--config",
+      names = CONFIG,
       required = true,
       paramLabel = "FILE",
       description = "The platform's settings (TOML).")
@@ -65,13 +66,27 @@
       description = "Load what a start needs and end; used to build the class archive.")
   private boolean rehearse;
 
-  public static void main(String[] args) {
-    int code = new CommandLine(new Main()).execute(args);
+  public static void main(String[] args) throws IOException, InterruptedException {
+    int code = args.length == 2 && args[0].equals(CONFIG) ? start(Path.of(args[1])) : parse(args);
     if (code != 0) {
       System.exit(code);
     }
   }
 
+  /**
+   * What the platform asks for. The parser of arguments is left out of it: its classes are too old
+   * for the class archive, and reading them took a part of each start on a small share of a core.
+   */
+  private static int start(Path config) throws IOException, InterruptedException {
+    Main main = new Main();
+    main.config = config;
+    return main.call();
+  }
+
+  private static int parse(String[] args) {
+    return new CommandLine(new Main()).execute(args);
+  }
+
   @Override
   public Integer call() throws IOException, InterruptedException {
     PlatformSettings settings;
@@ -94,6 +109,7 @@
             settings.limits().sockets(),
             Runtime.getRuntime().maxMemory());
     HttpFrontend.configure(memory.idleConnections());
+    settings = rehearse ? new RehearsalWorld().serve(settings) : settings;
     try {
       run(settings, tunables, memory);
     } catch (BindException e) {
@@ -149,16 +165,16 @@
                 WorkerCodec.CHECKIN::equals));
     link.start(rehearse ? ANY_PORT : settings.peerBind());
     frontend.start();
-    loop.post(controller::start);
     log.info(
         "{} serves {}, {} MiB for objects",
         settings.label(),
         settings.publicAddress(),
         memory.heapBytes() >> 20);
     if (rehearse) {
-      Rehearsal.run(loop, frontend.address(), log);
+      Rehearsal.run(loop, frontend.address(), controller::start, log);
       return;
     }
+    loop.post(controller::start);
     loop.run();
   }
 
