A blamed gang is tried again as a whole

Cause: a blamed job got one task a try; a gang of several never fits with one, so it never got another try. Change: its try is all its tasks.

--- a/src/main/java/org/mulleinshift/coordination/Blame.java
+++ b/src/main/java/org/mulleinshift/coordination/Blame.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobKind;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.transport.SteadyTime;
 import org.slf4j.Logger;
@@ -116,13 +117,18 @@
     return known != null && known.blamed;
   }
 
-  /** How many of the job's tasks may be tried now: of a blamed job one at a time, spaced out. */
+  /**
+   * How many of the job's tasks may be tried now: of a blamed job one at a time, spaced out. A gang
+   * is tried whole: one task of it alone fits nowhere, and it would never get another try.
+   */
   int tries(Job job, SteadyTime now) {
     JobFailures known = jobs.get(job.spec().id());
     if (known == null || !known.blamed) {
       return Integer.MAX_VALUE;
     }
-    return job.delegatedCount() == 0 && !known.notBefore.isAfter(now) ? 1 : 0;
+    boolean due = job.delegatedCount() == 0 && !known.notBefore.isAfter(now);
+    int whole = job.spec().kind() == JobKind.GANG ? job.spec().tasks() : 1;
+    return due ? whole : 0;
   }
 
   /**
