--- a/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
@@ -96,14 +96,6 @@
     }
   }
 
-  public boolean pending(String name) {
-    return dirty.containsKey(name);
-  }
-
-  public int backlog() {
-    return dirty.size();
-  }
-
   public void close() {
     moveTo(State.CLOSED);
     dirty.clear();
