--- a/src/main/java/org/mulleinshift/RehearsalWorker.java
+++ b/src/main/java/org/mulleinshift/RehearsalWorker.java
@@ -86,8 +86,7 @@
         }
       }
     } catch (IOException e) {
-      // The next report asks again.
-      baton = Math.max(0, baton);
+      // No answer, or none that can be read: the next report asks again.
     }
   }
 }
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -532,9 +532,7 @@
           move(task, TaskPhase.STARTING, room.get().machine());
           machines.get(room.get().machine()).ordersWaiting(true);
         } else {
-          if (!hopeless.covers(task.need())) {
-            hopeless.add(task.need());
-          }
+          hopeless.add(task.need());
           if (now.isAfter(task.takenAt().plus(UNPLACEABLE))) {
             finish(task, TaskPhase.REJECTED);
           }
--- a/src/main/java/org/mulleinshift/coordination/Hopeless.java
+++ b/src/main/java/org/mulleinshift/coordination/Hopeless.java
@@ -14,7 +14,7 @@
   private final List<PlacementNeed> failed = new ArrayList<>();
 
   void add(PlacementNeed need) {
-    if (failed.size() < MOST) {
+    if (failed.size() < MOST && !covers(need)) {
       failed.add(need);
     }
   }
