--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/Awaits.java
@@ -0,0 +1,105 @@
+package org.mulleinshift.bookkeeping;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.JobCodec;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.Json;
+
+/**
+ * The jobs that a job awaits, as its record holds them: named there, or, where they would not fit
+ * into a value, in lists under keys of their own.
+ *
+ * @param named the jobs, if the record names them
+ * @param lists how many lists there are; 0 if the record names the jobs
+ * @param digest of what the lists hold; lists of another submission have another
+ */
+public record Awaits(List<JobId> named, int lists, String digest) {
+  public static final Awaits NOTHING = new Awaits(List.of(), 0, "");
+  private static final String NAMED = "awaits";
+  private static final String LISTS = "lists";
+  private static final String DIGEST = "digest";
+  private static final int MOST_LISTS = 10_000;
+
+  public static Awaits of(List<JobId> named) {
+    return named.isEmpty() ? NOTHING : new Awaits(List.copyOf(named), 0, "");
+  }
+
+  public boolean none() {
+    return named.isEmpty() && lists == 0;
+  }
+
+  void write(ObjectNode chain) {
+    if (lists == 0) {
+      chain.set(NAMED, array(named));
+    } else {
+      chain.put(LISTS, lists);
+      chain.put(DIGEST, digest);
+    }
+  }
+
+  static Awaits read(JsonNode chain) throws BadMessage {
+    if (chain.has(LISTS)) {
+      return new Awaits(
+          List.of(), (int) Json.count(chain, LISTS, 1, MOST_LISTS), Json.text(chain, DIGEST));
+    }
+    List<JobId> named = names(chain.path(NAMED));
+    if (named.isEmpty()) {
+      throw new BadMessage("a chain without jobs");
+    }
+    return new Awaits(named, 0, "");
+  }
+
+  /** One list as it is stored. */
+  public static JsonNode list(List<JobId> jobs) {
+    return Json.object().set(NAMED, array(jobs));
+  }
+
+  public static List<JobId> readList(JsonNode value) throws BadMessage {
+    return names(value.path(NAMED));
+  }
+
+  private static ArrayNode array(List<JobId> jobs) {
+    ArrayNode array = Json.object().putArray(NAMED);
+    jobs.forEach(job -> array.add(job.value()));
+    return array;
+  }
+
+  private static List<JobId> names(JsonNode array) throws BadMessage {
+    if (!array.isArray()) {
+      throw new BadMessage("not a list of jobs");
+    }
+    List<JobId> jobs = new ArrayList<>();
+    for (JsonNode name : array) {
+      if (!name.isTextual() || !JobCodec.isJobId(name.asText())) {
+        throw new BadMessage("not the name of a job");
+      }
+      jobs.add(new JobId(name.asText()));
+    }
+    return List.copyOf(jobs);
+  }
+
+  /** Cuts a long list into such as fit into values of that size. */
+  public static List<List<JobId>> cut(List<JobId> jobs, int valueBytes) {
+    List<List<JobId>> lists = new ArrayList<>();
+    List<JobId> next = new ArrayList<>();
+    int bytes = 0;
+    for (JobId job : jobs) {
+      // Two quotes and a comma; ids are plain ASCII.
+      int size = job.value().length() + 3;
+      if (!next.isEmpty() && bytes + size > valueBytes - 32) {
+        lists.add(next);
+        next = new ArrayList<>();
+        bytes = 0;
+      }
+      next.add(job);
+      bytes += size;
+    }
+    lists.add(next);
+    return lists;
+  }
+}
--- a/src/main/java/org/mulleinshift/bookkeeping/ControlView.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/ControlView.java
@@ -98,11 +98,14 @@
     }
   }
 
+  private static final String BUILD = "build";
+
   private Optional<LeaderRecord> leader = Optional.empty();
   private final Map<NodeId, NodeRecord> nodes = new HashMap<>();
   private final Map<BlockId, GrantRecord> grants = new HashMap<>();
   private final Map<BlockId, BlockRecord> blocks = new LinkedHashMap<>();
   private final Map<MachineId, BlockId> blockOf = new HashMap<>();
+  private final Map<NodeId, Integer> builds = new HashMap<>();
   private final Set<BlockId> unreadableBlocks = new HashSet<>();
   private final Set<BlockId> unreadableGrants = new HashSet<>();
 
@@ -110,6 +113,10 @@
     return Json.object().put("node", node.value()).put("hold", hold.value());
   }
 
+  public static JsonNode buildValue(int build) {
+    return Json.object().put(BUILD, build);
+  }
+
   public static JsonNode nodeValue(HoldId hold) {
     return Json.object().put("hold", hold.value());
   }
@@ -131,6 +138,11 @@
       NodeId node = new NodeId(key.substring(Keys.NODES.length()));
       // One without a hold that can be read gets no block: it would hang on nothing.
       set(nodes, node, item.filter(ControlView::hasHold).map(ControlView::nodeRecord));
+    } else if (key.startsWith(Keys.BUILDS)) {
+      set(
+          builds,
+          new NodeId(key.substring(Keys.BUILDS.length())),
+          item.map(found -> found.value().path(BUILD).asInt()));
     } else if (key.startsWith(Keys.GRANTS)) {
       applyGrant(new BlockId(key.substring(Keys.GRANTS.length())), item);
     } else if (key.startsWith(Keys.BLOCKS)) {
@@ -209,6 +221,11 @@
     return blocks;
   }
 
+  /** Which build each controller has shown; those before this was kept have shown none. */
+  public Map<NodeId, Integer> builds() {
+    return builds;
+  }
+
   /** Blocks that stand in the store in a form that this build can't read; not its to judge. */
   public Set<BlockId> unreadableBlocks() {
     return unreadableBlocks;
--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.mulleinshift.protocol.Attempt;
@@ -21,6 +22,7 @@
 import org.mulleinshift.protocol.JobPhase;
 import org.mulleinshift.protocol.JobSpec;
 import org.mulleinshift.protocol.Json;
+import org.mulleinshift.protocol.Priority;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.TaskId;
@@ -31,6 +33,8 @@
 public final class Job {
   /** States of a job. */
   public enum State {
+    /** Jobs that it awaits are not all over: no task may be delegated. */
+    HELD,
     /** Tasks may be delegated. */
     ACTIVE,
     /** Cancelled: no task may start, all must go. */
@@ -49,11 +53,17 @@
 
   private static final double NO_DEADLINE_SECONDS = 86_400;
 
+  private static final String READY = "ready";
+
   private final JobSpec spec;
+  private final Awaits awaits;
   private final long acceptedMillis;
+  private final ProgressParts parts;
+  private OptionalLong readyMillis = OptionalLong.empty();
+  private Inherited inherited = Inherited.NOTHING;
   private Revision version;
   private State state;
-  private final Map<Integer, UnknownFields> beyond = new HashMap<>();
+  private final Map<Part, UnknownFields> beyond = new HashMap<>();
   private final BitSet done = new BitSet();
   private final BitSet delegated = new BitSet();
   private final BitSet unavailable = new BitSet();
@@ -66,12 +76,23 @@
   private int runCount;
   private boolean cancelled;
 
+  /**
+   * What a job takes over from those that need it.
+   *
+   * @param endMillis by when it should be complete; far off if none of them has a deadline
+   */
+  public record Inherited(Priority priority, long endMillis) {
+    public static final Inherited NOTHING = new Inherited(Priority.LOW, Long.MAX_VALUE);
+  }
+
   public Job(JobRecord record) {
     this.spec = record.spec();
+    this.awaits = record.awaits();
+    this.parts = new ProgressParts(spec.tasks());
     this.acceptedMillis = record.acceptedMillis();
     this.version = record.version();
     this.cancelled = record.cancelled();
-    this.state = cancelled ? State.CANCELLING : State.ACTIVE;
+    this.state = cancelled ? State.CANCELLING : awaits.none() ? State.ACTIVE : State.HELD;
   }
 
   /** The only place where a job's state changes. */
@@ -88,18 +109,39 @@
     if (record.cancelled()) {
       // Stored, so the user was told or will be: the end is cancelled even if all tasks complete
       // before they could be stopped, or our own end was about to be stored.
-      cancelled = true;
-      if (state == State.ACTIVE) {
-        moveTo(State.CANCELLING);
-      }
+      cancel();
+    }
+  }
+
+  /** Its user asked for it, or for the end of a job that it needs. */
+  public void cancel() {
+    cancelled = true;
+    if (state == State.HELD || state == State.ACTIVE) {
+      moveTo(State.CANCELLING);
     }
   }
 
-  /** Reads one chunk of stored progress; nothing of it is taken over if any of it can't be read. */
-  public void load(int chunk, JsonNode value, Function<BlockId, ZoneId> zones) throws BadMessage {
-    int base = chunk * CHUNK;
-    int most = Math.min(CHUNK, spec.tasks() - base);
-    if (base < 0 || most <= 0) {
+  /** All that it awaits is stored as done, the last of it at that time of day. */
+  public void release(long atMillis) {
+    readyMillis = OptionalLong.of(Math.max(acceptedMillis, atMillis));
+    if (state == State.HELD) {
+      moveTo(State.ACTIVE);
+    }
+  }
+
+  public void inherit(Inherited next) {
+    inherited = next;
+  }
+
+  /**
+   * Reads one part of stored progress; nothing of it is taken over if any of it can't be read. It
+   * takes the place of what was read of the part that it was cut from. Of a job that awaits others
+   * it proves that they are over: no task is delegated before.
+   */
+  public void load(Part part, JsonNode value, Function<BlockId, ZoneId> zones) throws BadMessage {
+    int base = part.from();
+    int most = Math.min(part.size(), spec.tasks() - base);
+    if (most <= 0) {
       throw new BadMessage("progress of a part that the job does not have");
     }
     BitSet ended = TaskRanges.read(value.path("done"), most);
@@ -126,18 +168,36 @@
                           attempt,
                           Delegation.State.LIVE)));
     }
+    if (!awaits.none()) {
+      release(value.path(READY).asLong(acceptedMillis));
+    }
+    parts.found(part);
+    clear(base, base + most);
     ended.stream().forEach(index -> markDone(base + index));
     found.forEach(this::add);
-    UnknownFields.beyond(progress(chunk), value).ifPresent(more -> beyond.put(chunk, more));
+    UnknownFields.beyond(progress(part), value).ifPresent(more -> beyond.put(part, more));
   }
 
-  /** The stored form of a chunk. */
-  public JsonNode progress(int chunk) {
-    int base = chunk * CHUNK;
+  private void clear(int from, int to) {
+    for (Delegation old : List.copyOf(delegations.subMap(from, to).values())) {
+      delegations.remove(old.task().index());
+      perZone.merge(old.zone(), -1, (a, b) -> a + b == 0 ? null : a + b);
+    }
+    done.clear(from, to);
+    delegated.clear(from, to);
+    unavailable.clear(from, to);
+  }
+
+  /** The stored form of a part. */
+  public JsonNode progress(Part part) {
+    int base = part.from();
     ObjectNode node = Json.object();
-    node.put("done", TaskRanges.write(part(done, base)));
+    node.put("done", TaskRanges.write(done.get(base, base + part.size())));
+    if (!awaits.none()) {
+      node.put(READY, readyMillis());
+    }
     Map<String, BitSet> groups = new LinkedHashMap<>();
-    for (Delegation delegation : delegations(chunk)) {
+    for (Delegation delegation : delegations(part)) {
       int index = delegation.task().index() - base;
       if (delegation.state() != Delegation.State.ENDED) {
         groups
@@ -154,20 +214,24 @@
           item.put("n", Long.parseLong(key.substring(0, space)));
           item.put("r", TaskRanges.write(set));
         });
-    Optional.ofNullable(beyond.get(chunk)).ifPresent(more -> more.restore(node));
+    Optional.ofNullable(beyond.get(part)).ifPresent(more -> more.restore(node));
     return node;
   }
 
-  private static BitSet part(BitSet set, int base) {
-    return set.get(base, base + CHUNK);
+  /** How its progress is cut into keys. */
+  public ProgressParts parts() {
+    return parts;
   }
 
-  public static int chunkOf(int index) {
-    return index / CHUNK;
+  /** What a task's progress is written to from now on. */
+  public Part partOf(int index) {
+    return parts.of(index);
   }
 
-  public int chunks() {
-    return (spec.tasks() + CHUNK - 1) / CHUNK;
+  /** Its progress no longer fits into a value. */
+  public void split(Part part) {
+    parts.split(part);
+    Optional.ofNullable(beyond.remove(part)).ifPresent(more -> beyond.put(part.half(0), more));
   }
 
   /**
@@ -258,6 +322,10 @@
         && delegations.values().stream().allMatch(d -> d.state() == Delegation.State.ENDED);
   }
 
+  public boolean cancelled() {
+    return cancelled;
+  }
+
   public JobPhase endPhase() {
     return cancelled ? JobPhase.CANCELLED : JobPhase.DONE;
   }
@@ -266,9 +334,31 @@
     return spec;
   }
 
-  /** When it should be complete, by the time of day; far off for a job without a deadline. */
+  /** Of its user's asking, or of those that need it. */
+  public Priority priority() {
+    return inherited.priority().above(spec.priority()) ? inherited.priority() : spec.priority();
+  }
+
+  /**
+   * When it should be complete, by the time of day; far off for a job without a deadline that
+   * nothing with a deadline needs.
+   */
   public long dueMillis() {
-    return acceptedMillis + (long) (1000 * spec.deadlineSeconds().orElse(NO_DEADLINE_SECONDS));
+    double own = spec.deadlineSeconds().orElse(NO_DEADLINE_SECONDS);
+    return Math.min(inherited.endMillis(), acceptedMillis + (long) (1000 * own));
+  }
+
+  public boolean hasDeadline() {
+    return spec.deadlineSeconds().isPresent() || inherited.endMillis() < Long.MAX_VALUE;
+  }
+
+  public Awaits awaits() {
+    return awaits;
+  }
+
+  /** From when it could run: all times but the deadline count from then. */
+  public long readyMillis() {
+    return readyMillis.orElse(acceptedMillis);
   }
 
   public long acceptedMillis() {
@@ -292,8 +382,8 @@
   }
 
   /** The delegations of a part of the job. */
-  public Collection<Delegation> delegations(int chunk) {
-    return delegations.subMap(chunk * CHUNK, (chunk + 1) * CHUNK).values();
+  public Collection<Delegation> delegations(Part part) {
+    return delegations.subMap(part.from(), part.from() + part.size()).values();
   }
 
   public Optional<Delegation> delegation(int index) {
--- a/src/main/java/org/mulleinshift/bookkeeping/JobRecord.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/JobRecord.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.JobCodec;
 import org.mulleinshift.protocol.JobId;
@@ -19,34 +20,47 @@
 /**
  * An accepted job as the state service keeps it.
  *
+ * <p>The record of a job that awaits others has no {@code at} where others have it: builds that
+ * don't know chains set such a job aside whole, instead of running it too early.
+ *
  * @param beyond fields of the record that this build doesn't know, to be kept when it is rewritten
  */
 public record JobRecord(
     JobSpec spec,
+    Awaits awaits,
     long acceptedMillis,
     boolean cancelled,
     Revision version,
     Optional<UnknownFields> beyond) {
   private static final Logger LOG = LoggerFactory.getLogger(JobRecord.class);
+  private static final String AT = "at";
+  private static final String CHAIN = "chain";
 
   /** What a job whose record can't be read may have out, as far as can be told. */
   public record Footprint(Optional<TeamId> team, Resources most) {}
 
   public JobRecord(JobSpec spec, long acceptedMillis, boolean cancelled, Revision version) {
-    this(spec, acceptedMillis, cancelled, version, Optional.empty());
+    this(spec, Awaits.NOTHING, acceptedMillis, cancelled, version, Optional.empty());
   }
 
-  public static JsonNode value(JobSpec spec, long acceptedMillis, boolean cancelled) {
+  public static JsonNode value(
+      JobSpec spec, Awaits awaits, long acceptedMillis, boolean cancelled) {
     ObjectNode node = Json.object();
     node.set("spec", JobCodec.write(spec));
-    node.put("at", acceptedMillis);
+    if (awaits.none()) {
+      node.put(AT, acceptedMillis);
+    } else {
+      ObjectNode chain = node.putObject(CHAIN);
+      chain.put(AT, acceptedMillis);
+      awaits.write(chain);
+    }
     node.put("cancelled", cancelled);
     return node;
   }
 
   /** The record of the same job, cancelled; with all that the stored one has beyond this build. */
   public JsonNode cancelledValue() {
-    JsonNode node = value(spec, acceptedMillis, true);
+    JsonNode node = value(spec, awaits, acceptedMillis, true);
     beyond.ifPresent(fields -> fields.restore(node));
     return node;
   }
@@ -56,15 +70,19 @@
     JsonNode value = item.value();
     try {
       JobSpec spec = JobCodec.parse(value.path("spec"));
-      long at = Json.count(value, "at", 0, Long.MAX_VALUE);
+      boolean chained = value.has(CHAIN);
+      JsonNode chain = value.path(CHAIN);
+      Awaits awaits = chained ? Awaits.read(chain) : Awaits.NOTHING;
+      long at = Json.count(chained ? chain : value, AT, 0, Long.MAX_VALUE);
       boolean cancelled = Json.flag(value, "cancelled");
       return Optional.of(
           new JobRecord(
               spec,
+              awaits,
               at,
               cancelled,
               item.version(),
-              UnknownFields.beyond(value(spec, at, cancelled), value)));
+              UnknownFields.beyond(value(spec, awaits, at, cancelled), value)));
     } catch (BadMessage e) {
       LOG.warn("{}: this build can't read it: {}", item.key(), e.getMessage());
       return Optional.empty();
@@ -86,8 +104,14 @@
         task.times(Math.max(0, spec.path("pieces").asInt())));
   }
 
-  public static JsonNode endedValue(JobPhase phase) {
-    return Json.object().put("phase", phase.wire());
+  /** When it ended is for jobs that await it; older builds leave it out. */
+  public static JsonNode endedValue(JobPhase phase, long atMillis) {
+    return Json.object().put("phase", phase.wire()).put(AT, atMillis);
+  }
+
+  public static OptionalLong endedMillis(Item item) {
+    JsonNode at = item.value().path(AT);
+    return at.canConvertToLong() ? OptionalLong.of(at.asLong()) : OptionalLong.empty();
   }
 
   /** None for a phase that this build doesn't know: it is neither done nor cancelled for it. */
--- a/src/main/java/org/mulleinshift/bookkeeping/Keys.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Keys.java
@@ -1,5 +1,6 @@
 package org.mulleinshift.bookkeeping;
 
+import java.util.Optional;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.NodeId;
@@ -15,7 +16,10 @@
  *   <li>{@code a/JOB} an accepted job that is not over, or is cancelled but not yet gone
  *   <li>{@code t/JOB} how a job ended; never removed
  *   <li>{@code p/JOB/CHUNK} done and delegated tasks of a part of a job
+ *   <li>{@code p/JOB/CHUNK/PATH} the same of a part of a chunk that was too long for a value
+ *   <li>{@code w/JOB/DIGEST/N} a list of jobs that a job awaits, where its record could not hold it
  *   <li>{@code r/NAME} a rental asked for and not yet answered
+ *   <li>{@code c/v/NODE} which build the controller has shown
  * </ul>
  */
 public final class Keys {
@@ -28,9 +32,24 @@
   public static final String ENDED = "t/";
   public static final String PROGRESS = "p/";
   public static final String RENTALS = "r/";
+  public static final String AWAITED = "w/";
+  public static final String BUILDS = "c/v/";
+
+  /** What a key of progress says. */
+  public record ProgressKey(JobId job, Part part) {}
 
   private Keys() {}
 
+  /** None if it is not a key of this build. */
+  public static Optional<ProgressKey> progressKey(String key) {
+    int slash = key.indexOf('/', PROGRESS.length());
+    if (slash < 0) {
+      return Optional.empty();
+    }
+    JobId job = new JobId(key.substring(PROGRESS.length(), slash));
+    return Part.read(key.substring(slash + 1)).map(part -> new ProgressKey(job, part));
+  }
+
   public static String node(NodeId node) {
     return NODES + node;
   }
@@ -51,8 +70,16 @@
     return ENDED + job;
   }
 
-  public static String progress(JobId job, int chunk) {
-    return PROGRESS + job + "/" + chunk;
+  public static String progress(JobId job, Part part) {
+    return PROGRESS + job + "/" + part;
+  }
+
+  public static String awaited(JobId job, String digest, int list) {
+    return AWAITED + job + "/" + digest + "/" + list;
+  }
+
+  public static String build(NodeId node) {
+    return BUILDS + node;
   }
 
   public static String rental(String name) {
--- a/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,6 +14,7 @@
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.protocol.StateCodec.Write;
 import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.SteadyTime;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,6 +27,11 @@
   private static final Logger LOG = LoggerFactory.getLogger(LeaderJournal.class);
   private static final Duration RETRY = Duration.ofMillis(250);
 
+  /** What need not be stored at once goes before what came after it, once it waited this long. */
+  private static final Duration PATIENCE = Duration.ofSeconds(2);
+
+  private static final int MOST_NAMED = 1000;
+
   /** States of the journal. */
   public enum State {
     IDLE,
@@ -43,6 +49,11 @@
 
     void committed(Revision revision);
 
+    /** Whether something waits for it to be stored; else it lets such units pass for a while. */
+    default boolean pressing() {
+      return true;
+    }
+
     /** A key's current form after a conflict; the unit may adapt or give up. */
     default void reread(String key, java.util.Optional<Item> item) {}
   }
@@ -55,6 +66,9 @@
   private final Map<String, Revision> versions = new HashMap<>();
   private final Map<String, Unit> dirty = new LinkedHashMap<>();
   private final Map<String, Unit> idle = new LinkedHashMap<>();
+  private final Map<String, SteadyTime> askedAt = new HashMap<>();
+  private final Set<String> unfit = new HashSet<>();
+  private int alone;
   private State state = State.IDLE;
   private boolean flushPlanned;
 
@@ -103,6 +117,7 @@
       return;
     }
     dirty.put(name, unit);
+    askedAt.putIfAbsent(name, loop.now());
     planFlush(Duration.ZERO);
   }
 
@@ -118,6 +133,7 @@
     moveTo(State.CLOSED);
     dirty.clear();
     idle.clear();
+    askedAt.clear();
   }
 
   /** The only place where the journal's state changes; closed is final. */
@@ -157,34 +173,78 @@
     }
     Map<String, Unit> taken = new LinkedHashMap<>();
     List<Write> writes = new ArrayList<>();
-    Iterator<Map.Entry<String, Unit>> units = source.entrySet().iterator();
     int bytes = 0;
-    while (units.hasNext()) {
-      Map.Entry<String, Unit> entry = units.next();
-      List<Write> unitWrites = entry.getValue().writes();
+    for (String name : turns(source)) {
+      Unit unit = source.get(name);
+      List<Write> unitWrites = unit.writes();
       if (unitWrites.isEmpty()) {
-        units.remove();
+        source.remove(name);
+        askedAt.remove(name);
         continue;
       }
       int size = unitWrites.stream().mapToInt(LeaderJournal::roughSize).sum();
-      if (!writes.isEmpty()
-          && (writes.size() + unitWrites.size() > mostOps || bytes + size > 48_000)) {
+      boolean full =
+          alone > 0 || writes.size() + unitWrites.size() > mostOps || bytes + size > 48_000;
+      if (!writes.isEmpty() && full) {
         break;
       }
       bytes += size;
       writes.addAll(unitWrites);
-      taken.put(entry.getKey(), entry.getValue());
-      units.remove();
+      taken.put(name, unit);
+      source.remove(name);
     }
     if (writes.isEmpty()) {
       return;
     }
+    alone = Math.max(0, alone - 1);
     moveTo(State.COMMITTING);
     Map<String, Unit> from = source;
     store.commit(
         guards(writes), writes, urgency, outcome -> finished(from, taken, writes, outcome));
   }
 
+  /** Where writes are scarce, what nobody waits for lets the rest pass, but not for ever. */
+  private List<String> turns(Map<String, Unit> source) {
+    List<String> first = new ArrayList<>();
+    List<String> later = new ArrayList<>();
+    SteadyTime late = loop.now().minus(PATIENCE);
+    source.forEach(
+        (name, unit) -> {
+          SteadyTime since = askedAt.get(name);
+          boolean soon = unit.pressing() || since == null || late.isAfter(since);
+          (soon ? first : later).add(name);
+        });
+    first.addAll(later);
+    return first;
+  }
+
+  /**
+   * The service will never take this transaction. Whose fault that is shows when each unit is sent
+   * alone; what is refused alone holds up only itself, until it is asked for anew.
+   */
+  private void refusedForGood(Map<String, Unit> from, Map<String, Unit> taken, String why) {
+    if (taken.size() > 1) {
+      alone = taken.size();
+      restore(from, taken);
+    } else {
+      String name = taken.keySet().iterator().next();
+      askedAt.remove(name);
+      if (unfit.size() < MOST_NAMED && unfit.add(name)) {
+        LOG.error("{} can't be stored: {}", name, why);
+      }
+    }
+    moveTo(State.IDLE);
+    planFlush(RETRY);
+  }
+
+  /** Units that were asked for anew meanwhile stay as they are: they are newer. */
+  private static void restore(Map<String, Unit> from, Map<String, Unit> taken) {
+    Map<String, Unit> newer = new LinkedHashMap<>(from);
+    from.clear();
+    from.putAll(taken);
+    from.putAll(newer);
+  }
+
   private static int roughSize(Write write) {
     return 200 + write.key().length() + write.value().map(String::length).orElse(0);
   }
@@ -215,15 +275,16 @@
         }
       }
       moveTo(State.IDLE);
+      taken.keySet().stream().filter(name -> !dirty.containsKey(name)).forEach(askedAt::remove);
       taken.values().forEach(unit -> unit.committed(committed.revision()));
       planFlush(Duration.ZERO);
       return;
     }
-    // Units that were asked for anew meanwhile stay as they are: they are newer.
-    Map<String, Unit> newer = new LinkedHashMap<>(from);
-    from.clear();
-    from.putAll(taken);
-    from.putAll(newer);
+    if (outcome instanceof StateStore.Outcome.Unfit refusal) {
+      refusedForGood(from, taken, refusal.why());
+      return;
+    }
+    restore(from, taken);
     if (outcome instanceof StateStore.Outcome.Refused
         || outcome instanceof StateStore.Outcome.Busy) {
       moveTo(State.IDLE);
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/Part.java
@@ -0,0 +1,71 @@
+package org.mulleinshift.bookkeeping;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Tasks of a job whose progress shares a key: a chunk, or a part of one that was halved, and halved
+ * again, until its value was short enough. What a part holds goes before what the part that it was
+ * cut from holds; in the order of keys the larger part comes first.
+ *
+ * @param path which half at each step, from the chunk on; empty for the chunk itself
+ */
+public record Part(int chunk, String path) {
+  private static final Pattern KEY = Pattern.compile("([0-9]{1,6})(?:/([01]{1,9}))?");
+
+  public static Part chunk(int number) {
+    return new Part(number, "");
+  }
+
+  /** By the rest of its key; none if that is not a key of this build. */
+  static Optional<Part> read(String text) {
+    Matcher key = KEY.matcher(text);
+    if (!key.matches()) {
+      return Optional.empty();
+    }
+    Part part =
+        new Part(Integer.parseInt(key.group(1)), Optional.ofNullable(key.group(2)).orElse(""));
+    return part.size() > 0 ? Optional.of(part) : Optional.empty();
+  }
+
+  /** The first task. */
+  int from() {
+    return bounds()[0];
+  }
+
+  /** How many tasks, of a job that has them all. */
+  int size() {
+    return bounds()[1];
+  }
+
+  private int[] bounds() {
+    int from = chunk * Job.CHUNK;
+    int size = Job.CHUNK;
+    for (int i = 0; i < path.length(); i++) {
+      int half = (size + 1) / 2;
+      from += path.charAt(i) == '0' ? 0 : half;
+      size = path.charAt(i) == '0' ? half : size - half;
+    }
+    return new int[] {from, size};
+  }
+
+  Part half(int which) {
+    return new Part(chunk, path + which);
+  }
+
+  /** A part of one task is short enough for every value. */
+  public boolean divisible() {
+    return size() > 1;
+  }
+
+  /** Whether the other was cut from this one, or is this one. */
+  boolean holds(Part other) {
+    return chunk == other.chunk && other.path.startsWith(path);
+  }
+
+  @Override
+  public String toString() {
+    return path.isEmpty() ? Integer.toString(chunk) : chunk + "/" + path;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/ProgressParts.java
@@ -0,0 +1,146 @@
+package org.mulleinshift.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * How the progress of one job is cut into keys: which parts are written by now, which of them are
+ * in the store, and which wait to be written. A part that was cut stays in the store until all that
+ * it was cut into is there; until then it is read for what is not.
+ */
+public final class ProgressParts {
+  private final int tasks;
+  private final NavigableMap<Integer, Part> live = new TreeMap<>();
+  private final Set<Part> stored = new LinkedHashSet<>();
+  private final Set<Part> dirty = new LinkedHashSet<>();
+  private final Set<Part> sent = new LinkedHashSet<>();
+  private final Set<Integer> awaited = new HashSet<>();
+
+  ProgressParts(int tasks) {
+    this.tasks = tasks;
+    for (int chunk = 0; chunk * Job.CHUNK < tasks; chunk++) {
+      live.put(chunk * Job.CHUNK, Part.chunk(chunk));
+    }
+  }
+
+  /** The part that a task's progress is written to. */
+  Part of(int index) {
+    return live.floorEntry(index).getValue();
+  }
+
+  boolean exists(Part part) {
+    return part.from() < tasks;
+  }
+
+  /** Cuts a part in two. */
+  void split(Part part) {
+    live.remove(part.from());
+    for (int which = 0; which < 2; which++) {
+      Part half = part.half(which);
+      if (half.size() > 0 && exists(half)) {
+        live.put(half.from(), half);
+        dirty.add(half);
+      }
+    }
+    dirty.remove(part);
+  }
+
+  /** A part found in the store; the ones it was cut from, if they are there, were found before. */
+  void found(Part part) {
+    stored.add(part);
+    for (Part whole = of(part.from());
+        !whole.equals(part) && whole.holds(part);
+        whole = of(part.from())) {
+      split(whole);
+    }
+    dirty.clear();
+  }
+
+  /** A part's progress has changed; pressing if a task waits for it to be stored. */
+  public void changed(Part part, boolean pressing) {
+    dirty.add(part);
+    if (pressing) {
+      awaited.add(part.chunk());
+    }
+  }
+
+  /** Whether a task waits for the chunk's progress to be stored. */
+  public boolean pressing(int chunk) {
+    return awaited.contains(chunk);
+  }
+
+  /** What was cut from a part that is still in the store, and is not there itself. */
+  public List<Part> uncovered() {
+    List<Part> found = new ArrayList<>();
+    for (Part part : live.values()) {
+      if (!stored.contains(part) && stored.stream().anyMatch(whole -> whole.holds(part))) {
+        found.add(part);
+      }
+    }
+    return found;
+  }
+
+  /** Parts of the chunk that are in the store and no longer read for anything. */
+  public List<Part> outgrown(int chunk) {
+    int from = chunk * Job.CHUNK;
+    Collection<Part> parts = live.subMap(from, from + Job.CHUNK).values();
+    List<Part> found = new ArrayList<>();
+    if (parts.size() > 1) {
+      for (Part whole : stored) {
+        boolean cut = whole.chunk() == chunk && !parts.contains(whole);
+        if (cut && parts.stream().filter(whole::holds).allMatch(stored::contains)) {
+          found.add(whole);
+        }
+      }
+    }
+    return found;
+  }
+
+  /** What of the chunk waits to be written; what was sent before and not confirmed does again. */
+  public List<Part> waiting(int chunk) {
+    dirty.addAll(take(sent, chunk));
+    dirty.removeIf(part -> !part.equals(live.get(part.from())));
+    return dirty.stream().filter(part -> part.chunk() == chunk).toList();
+  }
+
+  private static List<Part> take(Set<Part> from, int chunk) {
+    List<Part> taken = from.stream().filter(part -> part.chunk() == chunk).toList();
+    from.removeAll(taken);
+    return taken;
+  }
+
+  /** The part is on its way to the store. */
+  public void sent(Part part) {
+    dirty.remove(part);
+    sent.add(part);
+  }
+
+  public void stored(Collection<Part> parts) {
+    sent.removeAll(parts);
+    stored.addAll(parts);
+    for (Part part : parts) {
+      if (waiting(part.chunk()).isEmpty()) {
+        awaited.remove(part.chunk());
+      }
+    }
+  }
+
+  public void gone(Part part) {
+    stored.remove(part);
+  }
+
+  /** All that is in the store. */
+  public Collection<Part> inStore() {
+    return stored;
+  }
+
+  public Collection<Part> live() {
+    return live.values();
+  }
+}
--- a/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
@@ -73,6 +73,9 @@
 
     record LeaseGone() implements Outcome {}
 
+    /** Certain: not carried out, and never will be in this form. */
+    record Unfit(String why) implements Outcome {}
+
     record Unknown() implements Outcome {}
 
     /** Certain: not carried out, and not soon. */
@@ -82,6 +85,14 @@
     record Busy() implements Outcome {}
   }
 
+  /**
+   * This node's shares of the service's rates.
+   *
+   * @param requestsLeft the part of the request rate that is left once the service's limits fall
+   * @param writesLeft the same of the changes
+   */
+  public record Rates(double requests, double writes, double requestsLeft, double writesLeft) {}
+
   private interface Parser<T> {
     T parse(String body) throws BadMessage;
   }
@@ -107,8 +118,10 @@
   private final InetSocketAddress address;
   private final RateBudget requests;
   private final RateBudget writes;
-  private final double requestRate;
+  private final Rates rates;
+  private double requestRate;
   private double writeRate;
+  private boolean fallen;
   private Optional<Fates> fates = Optional.empty();
 
   public StateStore(
@@ -116,14 +129,14 @@
       HttpCaller calls,
       HttpCaller watches,
       InetSocketAddress address,
-      double requestRate,
-      double writeRate) {
+      Rates rates) {
     this.loop = loop;
     this.calls = calls;
     this.watches = watches;
     this.address = address;
-    this.requestRate = requestRate;
-    this.writeRate = writeRate;
+    this.rates = rates;
+    this.requestRate = rates.requests();
+    this.writeRate = rates.writes();
     this.requests = new RateBudget(loop, requestRate);
     this.writes = new RateBudget(loop, writeRate);
   }
@@ -141,14 +154,29 @@
         reply -> {
           boolean served = reply.status() != 0 && reply.status() != 503;
           fates.ifPresent(served ? Fates::served : listener -> listener.failed(sentAt));
+          if (reply.status() == 429) {
+            refusedAboveRate();
+          }
           then.accept(reply);
         });
   }
 
   /** This node's share of the writes changes with its role. */
   public void writeRate(double next) {
-    writeRate = next;
-    writes.rate(next);
+    writeRate = next * (fallen ? rates.writesLeft() : 1);
+    writes.rate(writeRate);
+  }
+
+  /** A refusal above the rate says that the limits may have fallen: they never rise again. */
+  private void refusedAboveRate() {
+    if (!fallen && (rates.requestsLeft() < 1 || rates.writesLeft() < 1)) {
+      fallen = true;
+      LOG.info("refused above the rate: keeping to the state service's next limits");
+      writeRate *= rates.writesLeft();
+      requestRate *= rates.requestsLeft();
+      writes.rate(writeRate);
+      requests.rate(requestRate);
+    }
   }
 
   public void get(String key, Urgency urgency, Consumer<Answer<Item>> then) {
@@ -222,7 +250,9 @@
         return new Outcome.Conflict();
       case 400:
         LOG.info("transaction refused: {}", reply.body());
-        return new Outcome.LeaseGone();
+        return reply.body().contains("no such lease")
+            ? new Outcome.LeaseGone()
+            : new Outcome.Unfit(reply.body());
       case 429:
         return new Outcome.Busy();
       case 503:
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/ChainKeeper.java
@@ -0,0 +1,184 @@
+package org.mulleinshift.coordination;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.bookkeeping.JobRecord;
+import org.mulleinshift.coordination.chains.Chains;
+import org.mulleinshift.coordination.chains.NeedReader;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.transport.SteadyTime;
+
+/**
+ * Joins the chains to a leader's term: takes jobs that await others out of its sight until they may
+ * run, and tells the chains how the others stand.
+ */
+final class ChainKeeper implements Chains.Listener {
+  private static final int REMEMBERED_ENDS = 20_000;
+
+  /** Run times change; what jobs inherit follows them now and then. */
+  private static final double INHERIT_SECONDS = 2;
+
+  private final Leader leader;
+  private final Leader.Surroundings around;
+  private final Chains chains = new Chains(this);
+  private final NeedReader reader;
+  private final Map<JobId, Chains.Standing> ends =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobId, Chains.Standing> eldest) {
+          return size() > REMEMBERED_ENDS;
+        }
+      };
+  private SteadyTime inheritedAt;
+
+  ChainKeeper(Leader leader, Leader.Surroundings around) {
+    this.leader = leader;
+    this.around = around;
+    this.inheritedAt = around.loop().now();
+    this.reader = new NeedReader(around.loop(), around.store(), leader::serving, this::learned);
+  }
+
+  Optional<Job> held(JobId job) {
+    return chains.held(job);
+  }
+
+  /** A job from the store: it runs as any other, or is held until what it awaits is over. */
+  void admit(JobRecord record) {
+    Job job = new Job(record);
+    if (job.state() != Job.State.HELD) {
+      leader.take(job);
+      return;
+    }
+    chains.hold(job);
+    if (leader.leading()) {
+      await(job);
+    }
+  }
+
+  /** All that is stored was read, progress too: what has some was let go before. */
+  void begin() {
+    for (Job job : List.copyOf(chains.held())) {
+      if (job.state() == Job.State.HELD) {
+        await(job);
+      } else {
+        chains.leave(job.spec().id());
+        leader.take(job);
+      }
+    }
+  }
+
+  private void await(Job job) {
+    if (job.awaits().lists() == 0) {
+      await(job, job.awaits().named());
+    } else {
+      reader.lists(
+          job.spec().id(),
+          job.awaits(),
+          awaited -> await(job, awaited),
+          item -> leader.journal().known(item.key(), item.version()));
+    }
+  }
+
+  private void await(Job job, List<JobId> awaited) {
+    if (held(job.spec().id()).filter(found -> found == job).isEmpty()) {
+      return;
+    }
+    chains.await(job, awaited);
+    awaited.forEach(this::look);
+  }
+
+  /** What is active is known to this leader, all else is over or will be shown by the watch. */
+  private void look(JobId need) {
+    Chains.Standing end = ends.get(need);
+    Optional<Job> open = leader.known(need);
+    if (end != null) {
+      chains.learn(need, end);
+    } else if (open.isEmpty()) {
+      reader.end(need);
+    } else if (open.get().cancelled()) {
+      chains.learn(need, new Chains.Standing.Cancelled());
+    }
+  }
+
+  private void learned(JobId need, Chains.Standing standing) {
+    chains.learn(need, standing);
+  }
+
+  /** The stored record of a held job changed. */
+  void update(Job job, JobRecord record) {
+    job.update(record);
+    if (job.state() == Job.State.CANCELLING) {
+      chains.leave(job.spec().id());
+      cancelled(job);
+    }
+  }
+
+  /** A cancellation is stored. */
+  void cancelledWith(JobId job) {
+    chains.learn(job, new Chains.Standing.Cancelled());
+  }
+
+  void ended(Job job, long atMillis) {
+    JobId id = job.spec().id();
+    ends.put(
+        id,
+        job.endPhase() == JobPhase.DONE
+            ? new Chains.Standing.Done(atMillis)
+            : new Chains.Standing.Cancelled());
+    chains.ended(id, job.endPhase(), atMillis);
+  }
+
+  void drop(JobId job) {
+    chains.leave(job);
+  }
+
+  @Override
+  public void released(Job job) {
+    leader.take(job);
+  }
+
+  @Override
+  public void cancelled(Job job) {
+    leader.take(job);
+    leader.settle(job);
+  }
+
+  /** Before jobs are ranked. */
+  void inherit() {
+    SteadyTime now = around.loop().now();
+    if (chains.changed() || now.secondsSince(inheritedAt) >= INHERIT_SECONDS) {
+      inheritedAt = now;
+      chains.inherit(this::open, around.runTimes()::expectedSeconds);
+    }
+  }
+
+  private Optional<Job> open(JobId job) {
+    return Optional.ofNullable(leader.jobs().get(job));
+  }
+
+  /** Held jobs that should be let go within the horizon. */
+  List<Chains.Soon> soon(double horizon) {
+    return chains.soon(horizon, this::open, this::endsIn, around.runTimes()::expectedSeconds);
+  }
+
+  /** The longest that any of the job's tasks should still take, if those that wait start now. */
+  private double endsIn(Job job) {
+    if (job.state() != Job.State.ACTIVE) {
+      return Double.MAX_VALUE;
+    }
+    double expected = around.runTimes().expectedSeconds(job);
+    double left = job.waitingCount() > 0 ? expected : 0;
+    SteadyTime now = around.loop().now();
+    for (var delegation : job.delegations()) {
+      double ran = delegation.runningSince().map(now::secondsSince).orElse(0.0);
+      left = Math.max(left, ran > expected ? expected / 2 : expected - ran);
+    }
+    return left;
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -22,6 +22,7 @@
 import org.mulleinshift.coordination.membership.StateLink;
 import org.mulleinshift.coordination.membership.Succession;
 import org.mulleinshift.coordination.membership.WorkerLink;
+import org.mulleinshift.coordination.rollout.Builds;
 import org.mulleinshift.margin.HeapMargin;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.HoldId;
@@ -117,6 +118,7 @@
   private final Map<NodeId, List<Object>> outbox = new HashMap<>();
   private final Session session;
   private final Election election;
+  private final Builds builds;
   private final Catalog catalog;
   private final HolderDesk desk;
   private final Frontend frontend;
@@ -149,8 +151,11 @@
             outside.state(),
             outside.watches(),
             settings.state(),
-            cluster.state().requestsPerSecond() * Math.min(1, share * 1.4),
-            writeRate(false));
+            new StateStore.Rates(
+                cluster.state().requestsPerSecond() * Math.min(1, share * 1.4),
+                writeRate(false),
+                cluster.state().requestsLeft(),
+                cluster.state().writesLeft()));
     Duration spacing = watchSpacing(cluster);
     this.control = new PrefixView(loop, store, Keys.CONTROL, spacing, new ControlListener());
     this.jobs = new PrefixView(loop, store, Keys.ACTIVE, spacing, new JobListener());
@@ -212,6 +217,9 @@
                 this::answersWorkers,
                 this::onWorkerLink),
             this::toLeader);
+    List<NodeId> all = new ArrayList<>(List.of(self));
+    settings.members().forEach(member -> all.add(new NodeId(member.label())));
+    this.builds = new Builds(loop, store, self, all, view);
     this.frontend =
         new Frontend(
             loop,
@@ -262,6 +270,7 @@
     margin.start();
     stateLink.start();
     session.start();
+    builds.start();
     control.start();
     jobs.start();
     catalog.start();
@@ -706,6 +715,7 @@
                   catalog,
                   runTimes,
                   advice,
+                  builds,
                   succession::named,
                   links::silence,
                   Controller.this::hearing,
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -248,7 +248,7 @@
 
   private void walk() {
     double horizon = horizon();
-    List<Walk.Waiting> waiting = plan.waiting();
+    List<Walk.Waiting> waiting = plan.waiting(horizon);
     int demand = waiting.stream().mapToInt(Walk.Waiting::count).sum();
     FleetPlan.Plan found = plan.plan(waiting, horizon);
     Set<MachineTypeId> scarce = scarceTypes(found.result().shortage());
@@ -425,7 +425,7 @@
     int most =
         Math.min(
             around.tunables().count(Tunables.Key.BLOCK_MACHINES),
-            around.settings().cluster().state().valueBytes() / MACHINE_BYTES);
+            around.settings().cluster().state().leastValueBytes() / MACHINE_BYTES);
     int number = 0;
     for (LeaderBlock block : leader.blocks().values()) {
       if (block.zone().equals(zone)) {
--- a/src/main/java/org/mulleinshift/coordination/FleetPlan.java
+++ b/src/main/java/org/mulleinshift/coordination/FleetPlan.java
@@ -11,6 +11,7 @@
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.bookkeeping.Machine;
 import org.mulleinshift.bookkeeping.Rental;
+import org.mulleinshift.coordination.chains.Chains;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.MachineTypeId;
@@ -200,14 +201,34 @@
     }
   }
 
+  /** A job with tasks that wait, and when they join the queue. */
+  private record Queued(Job job, double fromSeconds) {}
+
+  /** The queue, and in it, by their priority, jobs that should be let go within the horizon. */
+  private List<Queued> queue(double horizon) {
+    List<Queued> queue = new ArrayList<>();
+    for (Job job : leader.ranking().order()) {
+      if (job.state() == Job.State.ACTIVE && job.waitingCount() > 0) {
+        queue.add(new Queued(job, 0));
+      }
+    }
+    for (Chains.Soon soon : leader.chains().soon(horizon)) {
+      int place = 0;
+      while (place < queue.size()
+          && !soon.job().priority().above(queue.get(place).job().priority())) {
+        place++;
+      }
+      queue.add(place, new Queued(soon.job(), soon.inSeconds()));
+    }
+    return queue;
+  }
+
   /** Waiting tasks in order, without those that their team's limit holds back. */
-  List<Walk.Waiting> waiting() {
+  List<Walk.Waiting> waiting(double horizon) {
     Map<TeamId, Resources> use = leader.use();
     List<Walk.Waiting> groups = new ArrayList<>();
-    for (Job job : leader.ranking().order()) {
-      if (job.state() != Job.State.ACTIVE || job.waitingCount() == 0) {
-        continue;
-      }
+    for (Queued queued : queue(horizon)) {
+      Job job = queued.job();
       Resources used = use.getOrDefault(job.spec().team(), Resources.ZERO);
       int count = Math.min(job.waitingCount(), leader.quota().withinLimit(job, used));
       // A job submitted with a mistake is no demand beyond its next try.
@@ -219,7 +240,8 @@
                 PlacementNeed.of(job.spec()),
                 around.runTimes().expectedSeconds(job),
                 patient(job),
-                count));
+                count,
+                queued.fromSeconds()));
       }
     }
     return groups;
@@ -227,12 +249,12 @@
 
   /** Work of the lowest priority is worth no dear machine as long as its time allows to wait. */
   private boolean patient(Job job) {
-    if (job.spec().priority() != Priority.LOW || !job.spec().spotAllowed()) {
+    if (job.priority() != Priority.LOW || !job.spec().spotAllowed()) {
       return false;
     }
     double patience = around.tunables().number(Tunables.Key.PATIENT_S);
     double latest = job.dueMillis() - 2000 * around.runTimes().expectedSeconds(job);
-    double until = Math.min(latest, job.acceptedMillis() + 1000 * patience);
+    double until = Math.min(latest, job.readyMillis() + 1000 * patience);
     return loop.wallMillis() < until;
   }
 
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -10,11 +10,14 @@
 import java.util.OptionalInt;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.mulleinshift.bookkeeping.Awaits;
 import org.mulleinshift.bookkeeping.JobRecord;
 import org.mulleinshift.bookkeeping.Keys;
 import org.mulleinshift.bookkeeping.StateStore;
 import org.mulleinshift.bookkeeping.StateStore.Answer;
 import org.mulleinshift.bookkeeping.StateStore.Outcome;
+import org.mulleinshift.coordination.chains.AcceptedCheck;
+import org.mulleinshift.coordination.chains.ListWriter;
 import org.mulleinshift.margin.Pressure;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.JobCodec;
@@ -24,6 +27,7 @@
 import org.mulleinshift.protocol.JobSpec;
 import org.mulleinshift.protocol.Json;
 import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Guard;
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.protocol.StateCodec.Write;
@@ -64,6 +68,8 @@
   private final Catalog catalog;
   private final Map<String, PlatformSettings.Team> teams = new LinkedHashMap<>();
   private final int valueBytes;
+  private final AcceptedCheck accepted;
+  private final ListWriter lists;
   private final int retryAfter;
   private final Consumer<JobId> onCancelled;
   private final Map<JobId, JobPhase> ended =
@@ -96,7 +102,10 @@
     this.loop = loop;
     this.store = store;
     this.catalog = catalog;
-    this.valueBytes = cluster.state().valueBytes();
+    this.valueBytes = cluster.state().leastValueBytes();
+    this.accepted =
+        new AcceptedCheck(store, job -> active.containsKey(job) || ended.containsKey(job));
+    this.lists = new ListWriter(store, valueBytes, cluster.state().leastTxnOps());
     this.retryAfter = retryAfter;
     this.prover = prover;
     this.pressure = pressure;
@@ -127,8 +136,11 @@
       return;
     }
     JobSpec spec;
+    List<JobId> awaited;
     try {
-      spec = JobCodec.parse(body);
+      JsonNode submission = Json.parseObject(body);
+      spec = JobCodec.parse(submission);
+      awaited = JobCodec.awaits(submission);
     } catch (BadMessage e) {
       refuseUnlessKnown(body, 400, e.getMessage(), responder);
       return;
@@ -142,7 +154,19 @@
       refuseUnlessKnown(body, 422, impossible.get(), responder);
       return;
     }
-    accept(spec, responder);
+    if (awaited.contains(spec.id())) {
+      refuseUnlessKnown(body, 422, "awaits itself", responder);
+      return;
+    }
+    accepted.check(
+        awaited,
+        verdict -> {
+          switch (verdict) {
+            case ALL -> accept(spec, awaited, responder);
+            case NEVER -> refuseUnlessKnown(body, 422, "awaits an unknown job", responder);
+            case DOUBT -> unavailable(responder);
+          }
+        });
   }
 
   private Optional<String> impossible(JobSpec spec) {
@@ -190,18 +214,33 @@
     }
   }
 
-  private void accept(JobSpec spec, Responder responder) {
+  private void accept(JobSpec spec, List<JobId> awaited, Responder responder) {
     JobPhase known = ended.get(spec.id());
     if (known != null) {
       respond(spec.id(), 200, known, responder);
       return;
     }
-    JsonNode value = JobRecord.value(spec, loop.wallMillis(), false);
-    if (value.toString().length() > valueBytes) {
+    JsonNode value = JobRecord.value(spec, Awaits.of(awaited), loop.wallMillis(), false);
+    if (StateCodec.bytes(value) <= valueBytes) {
+      accept(spec, value, ACCEPT_TRIES, responder);
+    } else if (awaited.isEmpty()) {
       responder.respond(400, JobCodec.error("job too long"));
-      return;
+    } else {
+      lists.write(
+          spec.id(),
+          awaited,
+          stored -> {
+            JsonNode shorter = JobRecord.value(spec, stored, loop.wallMillis(), false);
+            accept(spec, shorter, ACCEPT_TRIES, responder);
+          },
+          outcome -> {
+            if (outcome instanceof Outcome.Conflict) {
+              lookUp(spec.id(), standing -> answer(spec.id(), standing, responder));
+            } else {
+              unavailable(responder);
+            }
+          });
     }
-    accept(spec, value, ACCEPT_TRIES, responder);
   }
 
   private void accept(JobSpec spec, JsonNode value, int tries, Responder responder) {
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -15,8 +15,6 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.mulleinshift.bookkeeping.ControlView;
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
@@ -28,8 +26,8 @@
 import org.mulleinshift.coordination.membership.BlockSharing;
 import org.mulleinshift.coordination.membership.HolderFitness;
 import org.mulleinshift.coordination.membership.WorkerLink;
+import org.mulleinshift.coordination.rollout.Builds;
 import org.mulleinshift.coordination.rollout.SetAside;
-import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.MachineId;
@@ -71,8 +69,6 @@
   /** What ends a job is stored as one. */
   private static final int LEAST_BATCH = 3;
 
-  private static final Pattern PROGRESS_KEY = Pattern.compile("([^/]+)/([0-9]{1,6})");
-
   /** States of a term. */
   enum State {
     LOADING,
@@ -91,6 +87,7 @@
       Catalog catalog,
       RunTimes runTimes,
       StandbyAdvice advice,
+      Builds builds,
       Supplier<Optional<NodeId>> standby,
       Function<NodeId, Duration> peerSilence,
       Function<NodeId, WorkerLink.State> hearing,
@@ -103,6 +100,8 @@
   private final EventLoop loop;
   private final Revision term;
   private final LeaderJournal journal;
+  private final ProgressKeeper progress;
+  private final ChainKeeper chains;
   private final Map<JobId, Job> jobs = new TreeMap<>();
   private final Map<BlockId, LeaderBlock> blocks = new TreeMap<>();
   private final Quota quota;
@@ -136,6 +135,9 @@
             term,
             batch(around.settings().cluster().state()),
             around.resign());
+    this.progress =
+        new ProgressKeeper(this, around, journal, batch(around.settings().cluster().state()));
+    this.chains = new ChainKeeper(this, around);
     this.quota = new Quota(around.settings().cluster().teams());
     this.freeRoom = new FreeRoom(this, around.catalog());
     this.assignments = new AssignmentWriter(this, loop, term);
@@ -157,8 +159,8 @@
 
   /** A batch above what the service lets through at once would be refused for ever. */
   private static int batch(PlatformSettings.State limits) {
-    int burst = (int) (limits.writesPerSecond() / 2);
-    return Math.min(limits.txnOps(), Math.max(LEAST_BATCH, burst));
+    int burst = (int) (limits.writesPerSecond() * limits.writesLeft() / 2);
+    return Math.min(limits.leastTxnOps(), Math.max(LEAST_BATCH, burst));
   }
 
   /** The only place where the state changes. */
@@ -211,7 +213,7 @@
     loadedAt = loadedAt.value() == 0 ? page.revision() : loadedAt;
     for (Item item : page.items()) {
       Optional<JobRecord> record = JobRecord.read(item);
-      record.ifPresent(found -> jobs.put(found.id(), new Job(found)));
+      record.ifPresent(chains::admit);
       if (record.isEmpty()) {
         onUnreadable(new JobId(item.key().substring(Keys.ACTIVE.length())), item.value());
       }
@@ -232,14 +234,17 @@
   }
 
   /** Holders hear no more of the job's tasks, and leave alone what runs of them. */
-  private void putAside(JobId id, JsonNode record, String why) {
+  void putAside(JobId id, JsonNode record, String why) {
     setAside.add(id, record, why);
     Job job = jobs.remove(id);
+    chains.drop(id);
     if (job != null) {
       for (Delegation delegation : job.delegations()) {
         setAside.mayBeAt(delegation.block());
-        occupancy.leave(delegation);
-        untell(delegation);
+        if (state == State.LEADING) {
+          occupancy.leave(delegation);
+          untell(delegation);
+        }
       }
     }
   }
@@ -256,10 +261,7 @@
       return;
     }
     around.view().blocks().forEach(this::adoptBlock);
-    load(
-        Keys.PROGRESS,
-        this::loadProgress,
-        () -> load(Keys.RENTALS, this::loadRentals, this::begin));
+    load(Keys.PROGRESS, progress::load, () -> load(Keys.RENTALS, this::loadRentals, this::begin));
   }
 
   private void adoptBlock(BlockId id, ControlView.BlockRecord record) {
@@ -271,45 +273,11 @@
     journal.known(Keys.block(id), record.version());
   }
 
-  private void loadProgress(StateCodec.Range range) {
-    for (Item item : range.items()) {
-      Matcher key = PROGRESS_KEY.matcher(item.key().substring(Keys.PROGRESS.length()));
-      if (!key.matches()) {
-        LOG.warn("{}: not a key of this build, left alone", item.key());
-        continue;
-      }
-      JobId id = new JobId(key.group(1));
-      if (setAside.has(id)) {
-        setAside.progress(item.value());
-        continue;
-      }
-      journal.known(item.key(), item.version());
-      Job job = jobs.get(id);
-      if (job == null) {
-        journal.submit(item.key(), new DeleteUnit(item.key()));
-      } else {
-        loadProgress(job, Integer.parseInt(key.group(2)), item);
-      }
-    }
-  }
-
-  private void loadProgress(Job job, int chunk, Item item) {
-    try {
-      job.load(chunk, item.value(), this::zoneOf);
-      job.delegations(chunk).forEach(occupancy::enter);
-      job.delegations(chunk).forEach(this::tell);
-    } catch (BadMessage e) {
-      JsonNode record = JobRecord.value(job.spec(), job.acceptedMillis(), false);
-      putAside(job.spec().id(), record, e.getMessage());
-      setAside.progress(item.value());
-    }
-  }
-
   private void loadRentals(StateCodec.Range page) {
     fleet.rentals().load(page.items(), journal);
   }
 
-  private void tell(Delegation delegation) {
+  void tell(Delegation delegation) {
     LeaderBlock block = blocks.get(delegation.block());
     if (block != null) {
       block.tell(delegation);
@@ -317,7 +285,7 @@
     }
   }
 
-  private void untell(Delegation delegation) {
+  void untell(Delegation delegation) {
     LeaderBlock block = blocks.get(delegation.block());
     if (block != null) {
       block.untell(delegation);
@@ -325,7 +293,7 @@
     }
   }
 
-  private ZoneId zoneOf(BlockId block) {
+  ZoneId zoneOf(BlockId block) {
     LeaderBlock found = blocks.get(block);
     return found != null ? found.zone() : new ZoneId(block.value());
   }
@@ -333,6 +301,8 @@
   private void begin() {
     moveTo(State.LEADING);
     around.advice().apply(fleet.boots());
+    jobs.values().forEach(this::enter);
+    chains.begin();
     onControlChange();
     early.forEach(this::onJob);
     early.clear();
@@ -343,10 +313,40 @@
     cycleSoon();
   }
 
+  /** Takes up what the store says of a job's tasks. */
+  private void enter(Job job) {
+    job.delegations().forEach(occupancy::enter);
+    job.delegations().forEach(this::tell);
+  }
+
+  /** A job that may run, or is to end; one that was held comes here once it is not any more. */
+  void take(Job job) {
+    jobs.put(job.spec().id(), job);
+    if (state == State.LEADING) {
+      enter(job);
+      headroom.arrived(job.spec(), loop.now());
+      cycleSoon();
+    }
+  }
+
+  /** A job that is not over, held or not. */
+  Optional<Job> known(JobId id) {
+    return Optional.ofNullable(jobs.get(id)).or(() -> chains.held(id));
+  }
+
   boolean leading() {
     return state == State.LEADING;
   }
 
+  /** The term goes on, or will. */
+  boolean serving() {
+    return state != State.RETIRED;
+  }
+
+  ChainKeeper chains() {
+    return chains;
+  }
+
   LeaderJournal journal() {
     return journal;
   }
@@ -379,13 +379,16 @@
         || setAside.has(record.id())) {
       return;
     }
-    Job job = jobs.get(record.id());
+    Job job = known(record.id()).orElse(null);
     if (job == null) {
-      jobs.put(record.id(), new Job(record));
-      headroom.arrived(record.spec(), loop.now());
+      chains.admit(record);
     } else if (record.version().compareTo(job.version()) > 0) {
-      job.update(record);
-      settle(job);
+      if (job.state() == Job.State.HELD) {
+        chains.update(job, record);
+      } else {
+        job.update(record);
+        settle(job);
+      }
     }
     cycleSoon();
   }
@@ -540,13 +543,14 @@
   }
 
   private void changed(Job job, int index) {
-    store(job, Job.chunkOf(index));
+    progress.store(job, index, false);
     settle(job);
   }
 
   /** Ends the job if nothing is left of it; stops its tasks if it was cancelled. */
-  private void settle(Job job) {
+  void settle(Job job) {
     if (job.state() == Job.State.CANCELLING) {
+      chains.cancelledWith(job.spec().id());
       for (Delegation delegation : job.delegations()) {
         if (!delegation.stopRequested()) {
           requestStop(delegation);
@@ -555,12 +559,21 @@
     }
     boolean over = job.state() == Job.State.ACTIVE ? job.complete() : job.gone();
     if (over) {
-      journal.known(Keys.active(job.spec().id()), job.version());
-      journal.submit(Keys.ended(job.spec().id()), new EndUnit(job));
-      job.beginEnd();
+      progress.end(job);
     }
   }
 
+  /** The job's end is stored; these were the tasks that the store still knew of. */
+  void ended(Job job, List<Delegation> left, long atMillis) {
+    JobId id = job.spec().id();
+    jobs.remove(id);
+    blame.over(id);
+    left.forEach(occupancy::leave);
+    left.forEach(this::untell);
+    chains.ended(job, atMillis);
+    cycleSoon();
+  }
+
   void requestStop(Delegation delegation) {
     delegation.requestStop();
     if (delegation.told()) {
@@ -582,6 +595,7 @@
     }
     loop.after(UPKEEP, this::upkeep);
     describeBlocks();
+    progress.upkeep();
     assignBlocks();
     for (LeaderBlock block : blocks.values()) {
       if (block.sequenceToConfirm()) {
@@ -718,6 +732,7 @@
       return;
     }
     lastCycle = loop.now();
+    chains.inherit();
     scheduling.cycle();
     cycleTook = loop.now().since(lastCycle);
   }
@@ -726,9 +741,8 @@
     return scheduling.ranking();
   }
 
-  /** Has a part of the job's progress stored. */
-  void store(Job job, int chunk) {
-    journal.submit(Keys.progress(job.spec().id(), chunk), new ChunkUnit(job, chunk));
+  ProgressKeeper progress() {
+    return progress;
   }
 
   private void sendDigest() {
@@ -762,95 +776,6 @@
         .forEach(member -> around.send().accept(new NodeId(member.label()), digest));
   }
 
-  /** Done and delegated tasks of a part of a job. */
-  private final class ChunkUnit implements LeaderJournal.Unit {
-    private final Job job;
-    private final int chunk;
-    private List<Delegation> written = List.of();
-    private List<Delegation> ended = List.of();
-
-    ChunkUnit(Job job, int chunk) {
-      this.job = job;
-      this.chunk = chunk;
-    }
-
-    @Override
-    public List<Write> writes() {
-      if (job.state() == Job.State.ENDING
-          || job.state() == Job.State.ENDED
-          || setAside.has(job.spec().id())) {
-        return List.of();
-      }
-      written = select(Delegation.State.WRITING);
-      ended = select(Delegation.State.ENDED);
-      return List.of(Write.put(Keys.progress(job.spec().id(), chunk), job.progress(chunk)));
-    }
-
-    private List<Delegation> select(Delegation.State wanted) {
-      return job.delegations(chunk).stream().filter(d -> d.state() == wanted).toList();
-    }
-
-    @Override
-    public void committed(Revision revision) {
-      job.stored(written, ended, revision);
-      // Ends first: a task that comes back to the same block is told as a new one.
-      ended.forEach(Leader.this::untell);
-      written.forEach(Leader.this::tell);
-      settle(job);
-      cycleSoon();
-    }
-  }
-
-  /** The end of a job: from here on users hear done or cancelled. */
-  private final class EndUnit implements LeaderJournal.Unit {
-    private final Job job;
-    private List<Delegation> left = List.of();
-
-    EndUnit(Job job) {
-      this.job = job;
-    }
-
-    @Override
-    public List<Write> writes() {
-      JobId id = job.spec().id();
-      if (setAside.has(id)) {
-        return List.of();
-      }
-      List<Write> writes = new ArrayList<>();
-      writes.add(Write.delete(Keys.active(id)));
-      writes.add(Write.put(Keys.ended(id), JobRecord.endedValue(job.endPhase())));
-      left = List.copyOf(job.delegations());
-      return writes;
-    }
-
-    @Override
-    public void reread(String key, Optional<Item> item) {
-      if (key.equals(Keys.active(job.spec().id()))) {
-        item.flatMap(JobRecord::read).ifPresent(job::update);
-      }
-    }
-
-    @Override
-    public void committed(Revision revision) {
-      JobId id = job.spec().id();
-      LOG.info("job {} {}", id, job.endPhase().wire());
-      for (int chunk = 0; chunk < job.chunks(); chunk++) {
-        String key = Keys.progress(id, chunk);
-        if (journal.knows(key)) {
-          // Nobody reads it any more: it need not compete with what tasks wait for.
-          journal.submitIdle(key, new DeleteUnit(key));
-        }
-      }
-      job.finishEnd();
-      jobs.remove(id);
-      blame.over(id);
-      journal.forgotten(Keys.ended(id));
-      left.forEach(occupancy::leave);
-      left.forEach(Leader.this::untell);
-      cycleSoon();
-    }
-  }
-
   /** A block's new holder, bound to the holder's session lease. */
   private final class GrantUnit implements LeaderJournal.Unit {
     private final LeaderBlock block;
@@ -883,17 +808,4 @@
       sendSoon();
     }
   }
-
-  /** A key that is no longer needed. */
-  private record DeleteUnit(String key) implements LeaderJournal.Unit {
-    @Override
-    public List<Write> writes() {
-      return List.of(Write.delete(key));
-    }
-
-    @Override
-    public void committed(Revision revision) {
-      LOG.debug("removed {}", key);
-    }
-  }
 }
--- a/src/main/java/org/mulleinshift/coordination/Preemption.java
+++ b/src/main/java/org/mulleinshift/coordination/Preemption.java
@@ -88,7 +88,7 @@
    * large fleet tasks end all the time, and most jobs get their room from those.
    */
   boolean pressing(Job job, double expectedSeconds, long nowMillis) {
-    return job.spec().deadlineSeconds().isEmpty()
+    return !job.hasDeadline()
         || job.dueMillis() - nowMillis - 1000 * expectedSeconds <= 1000 * slackSeconds;
   }
 
@@ -181,7 +181,7 @@
   }
 
   static boolean mayPreempt(Job job) {
-    return job.state() == Job.State.ACTIVE && job.spec().priority().above(Priority.NORMAL);
+    return job.state() == Job.State.ACTIVE && job.priority().above(Priority.NORMAL);
   }
 
   /** On a machine that the preempting job may use. */
--- a/src/main/java/org/mulleinshift/coordination/Ranking.java
+++ b/src/main/java/org/mulleinshift/coordination/Ranking.java
@@ -94,9 +94,9 @@
       this.job = job;
       this.blamed = blamed;
       this.grade = place.grade();
-      this.priority = job.spec().priority().ordinal();
+      this.priority = job.priority().ordinal();
       this.turn = place.turn();
-      this.accepted = job.acceptedMillis();
+      this.accepted = job.readyMillis();
     }
 
     /**
--- a/src/main/java/org/mulleinshift/coordination/SchedulingCycle.java
+++ b/src/main/java/org/mulleinshift/coordination/SchedulingCycle.java
@@ -2,11 +2,9 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
@@ -153,14 +151,13 @@
       return 0;
     }
     int[] waiting = job.waiting(allowed, loop.now());
-    Set<Integer> chunks = new HashSet<>();
     int[] next = {0};
     Placer.Taker taker =
         (room, count) -> {
           for (int i = 0; i < count; i++) {
             int index = waiting[next[0]++];
             leader.occupancy().enter(job.delegate(index, room.block(), room.zone(), attempt));
-            chunks.add(Job.chunkOf(index));
+            leader.progress().store(job, index, true);
           }
         };
     int placed = 0;
@@ -176,9 +173,6 @@
       }
     }
     inUse.put(team, used.plus(job.spec().perTask().times(placed)));
-    for (int chunk : chunks) {
-      leader.store(job, chunk);
-    }
     return placed;
   }
 
@@ -309,7 +303,7 @@
   /** The job lies within its team's guarantee, the team has less than that, and time runs out. */
   private boolean claimsGuarantee(Job job, Map<TeamId, Resources> inUse) {
     Resources used = inUse.getOrDefault(job.spec().team(), Resources.ZERO);
-    double waited = (loop.wallMillis() - job.acceptedMillis()) / 1000.0;
+    double waited = (loop.wallMillis() - job.readyMillis()) / 1000.0;
     return guaranteeWithin.filter(within -> waited >= within).isPresent()
         && ranking().guaranteed(job)
         && used.plus(job.spec().perTask()).cpus()
--- a/src/main/java/org/mulleinshift/coordination/StopRules.java
+++ b/src/main/java/org/mulleinshift/coordination/StopRules.java
@@ -15,7 +15,7 @@
   record ByPriority(Job job) implements Preemption.GivesWay {
     @Override
     public boolean mayStop(Job other) {
-      return job.spec().priority().above(other.spec().priority());
+      return job.priority().above(other.priority());
     }
 
     @Override
@@ -112,7 +112,7 @@
     @Override
     public boolean mayStop(Job other) {
       return !other.spec().team().equals(job.spec().team())
-          && !other.spec().priority().above(job.spec().priority())
+          && !other.priority().above(job.priority())
           && !startsSoon.test(other)
           && !ranking.guaranteed(other)
           && excess.getOrDefault(other.spec().team(), 0.0) >= other.spec().perTask().cpus();
--- a/src/main/java/org/mulleinshift/coordination/Walk.java
+++ b/src/main/java/org/mulleinshift/coordination/Walk.java
@@ -20,14 +20,25 @@
    * Waiting tasks of one job that may start.
    *
    * @param patient waits for cheap machines rather than rent dear ones
+   * @param fromSeconds before that they may not start, since what they await is not over
    */
-  record Waiting(PlacementNeed need, double runSeconds, boolean patient, int count) {
+  record Waiting(
+      PlacementNeed need, double runSeconds, boolean patient, int count, double fromSeconds) {
+    Waiting(PlacementNeed need, double runSeconds, boolean patient, int count) {
+      this(need, runSeconds, patient, count, 0);
+    }
+
     Waiting with(PlacementNeed other) {
-      return new Waiting(other, runSeconds, patient, count);
+      return new Waiting(other, runSeconds, patient, count, fromSeconds);
     }
 
     Waiting with(int left) {
-      return new Waiting(need, runSeconds, patient, left);
+      return new Waiting(need, runSeconds, patient, left, fromSeconds);
+    }
+
+    /** Whether they join the queue between the two moments. */
+    boolean joins(double after, double until) {
+      return fromSeconds > after && fromSeconds <= until;
     }
   }
 
@@ -56,8 +67,11 @@
         release.room().give(release.amount());
         grown.add(release.room());
       }
+      double before = horizon * (step - 1) / steps;
+      // Who joins the queue only now has looked at no room yet.
+      boolean joined = waiting.stream().anyMatch(group -> group.joins(before, time));
       List<Room> open = new ArrayList<>();
-      for (Room room : step == 0 ? rooms : grown) {
+      for (Room room : step == 0 || joined ? rooms : grown) {
         if (least.fitsInto(room.free())) {
           open.add(room);
         }
@@ -66,7 +80,7 @@
       int next = step + 1;
       for (int i = 0; i < left.length && !open.isEmpty(); i++) {
         Waiting group = waiting.get(i);
-        if (left[i] > 0 && !hopeless.covers(group.need)) {
+        if (left[i] > 0 && group.fromSeconds <= time && !hopeless.covers(group.need)) {
           left[i] -=
               Placer.fill(
                   group.need,
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/chains/AcceptedCheck.java
@@ -0,0 +1,107 @@
+package org.mulleinshift.coordination.chains;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.StateStore;
+import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.StateCodec.Item;
+
+/**
+ * Whether jobs that a submission awaits were ever accepted. That one was accepted stays true, so
+ * whoever has seen it need not ask; that one was not is certain only by reading its keys now, first
+ * the active one, since a job moves only from there to the ended one.
+ */
+public final class AcceptedCheck {
+  private static final int AT_ONCE = 8;
+
+  /** What came of a check. */
+  public enum Verdict {
+    ALL,
+    /** One of them was certainly never accepted. */
+    NEVER,
+    DOUBT
+  }
+
+  private final StateStore store;
+  private final Predicate<JobId> seen;
+
+  /**
+   * A check.
+   *
+   * @param seen whether a job is known to have been accepted
+   */
+  public AcceptedCheck(StateStore store, Predicate<JobId> seen) {
+    this.store = store;
+    this.seen = seen;
+  }
+
+  public void check(List<JobId> jobs, Consumer<Verdict> then) {
+    Deque<JobId> open = new ArrayDeque<>();
+    jobs.stream().filter(job -> !seen.test(job)).forEach(open::add);
+    Round round = new Round(open, then);
+    if (open.isEmpty()) {
+      then.accept(Verdict.ALL);
+    }
+    for (int i = 0; i < AT_ONCE && !open.isEmpty(); i++) {
+      round.ask();
+    }
+  }
+
+  private final class Round {
+    private final Deque<JobId> open;
+    private final Consumer<Verdict> then;
+    private int asked;
+    private boolean over;
+
+    Round(Deque<JobId> open, Consumer<Verdict> then) {
+      this.open = open;
+      this.then = then;
+    }
+
+    private void ask() {
+      asked++;
+      JobId job = open.poll();
+      read(Keys.active(job), () -> read(Keys.ended(job), () -> end(Verdict.NEVER)));
+    }
+
+    /** Whatever stands there: it was accepted. */
+    private void read(String key, Runnable absent) {
+      store.get(
+          key,
+          StateStore.Urgency.PROMPT,
+          answer -> {
+            if (answer instanceof Answer.Found<Item>) {
+              found();
+            } else if (answer instanceof Answer.Absent<Item>) {
+              absent.run();
+            } else {
+              end(Verdict.DOUBT);
+            }
+          });
+    }
+
+    private void found() {
+      asked--;
+      if (over) {
+        return;
+      }
+      if (!open.isEmpty()) {
+        ask();
+      } else if (asked == 0) {
+        end(Verdict.ALL);
+      }
+    }
+
+    private void end(Verdict verdict) {
+      if (!over) {
+        over = true;
+        then.accept(verdict);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/chains/NeedReader.java
@@ -0,0 +1,154 @@
+package org.mulleinshift.coordination.chains;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.mulleinshift.bookkeeping.Awaits;
+import org.mulleinshift.bookkeeping.JobRecord;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.StateStore;
+import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads from the store what a new leader, or one that meets a late submission, does not know of
+ * jobs that others await: how they ended, and lists that did not fit into a record. A few at a
+ * time, behind all that somebody waits for.
+ */
+public final class NeedReader {
+  private static final Logger LOG = LoggerFactory.getLogger(NeedReader.class);
+  private static final int AT_ONCE = 8;
+  private static final Duration RETRY = Duration.ofMillis(300);
+
+  private final EventLoop loop;
+  private final StateStore store;
+  private final BooleanSupplier wanted;
+  private final BiConsumer<JobId, Chains.Standing> learned;
+  private final Deque<Runnable> queue = new ArrayDeque<>();
+  private final Set<JobId> asked = new HashSet<>();
+  private int open;
+
+  /**
+   * A reader for one term.
+   *
+   * @param wanted whether the term goes on
+   */
+  public NeedReader(
+      EventLoop loop,
+      StateStore store,
+      BooleanSupplier wanted,
+      BiConsumer<JobId, Chains.Standing> learned) {
+    this.loop = loop;
+    this.store = store;
+    this.wanted = wanted;
+    this.learned = learned;
+  }
+
+  /** How a job ended that is not among the active ones; asked once at a time. */
+  public void end(JobId job) {
+    if (asked.add(job)) {
+      enqueue(() -> readEnd(job));
+    }
+  }
+
+  private void readEnd(JobId job) {
+    get(
+        Keys.ended(job),
+        item -> {
+          asked.remove(job);
+          learned.accept(job, item.map(NeedReader::standing).orElse(new Chains.Standing.Open()));
+        });
+  }
+
+  private static Chains.Standing standing(Item item) {
+    Optional<JobPhase> phase = JobRecord.endedPhase(item);
+    if (phase.isEmpty()) {
+      return new Chains.Standing.Unknown();
+    }
+    return phase.get() == JobPhase.DONE
+        ? new Chains.Standing.Done(JobRecord.endedMillis(item).orElse(0))
+        : new Chains.Standing.Cancelled();
+  }
+
+  /** All that a job awaits; never called back if that can't be read, and the job waits on. */
+  public void lists(JobId job, Awaits awaits, Consumer<List<JobId>> then, Consumer<Item> read) {
+    enqueue(() -> readList(job, awaits, 0, new ArrayList<>(), then, read));
+  }
+
+  private void readList(
+      JobId job,
+      Awaits awaits,
+      int list,
+      List<JobId> found,
+      Consumer<List<JobId>> then,
+      Consumer<Item> read) {
+    String key = Keys.awaited(job, awaits.digest(), list);
+    get(
+        key,
+        item -> {
+          try {
+            if (item.isEmpty()) {
+              throw new BadMessage("is not there");
+            }
+            read.accept(item.get());
+            found.addAll(Awaits.readList(item.get().value()));
+          } catch (BadMessage e) {
+            LOG.error("{}: {}; {} is held", key, e.getMessage(), job);
+            return;
+          }
+          if (list + 1 < awaits.lists()) {
+            enqueue(() -> readList(job, awaits, list + 1, found, then, read));
+          } else {
+            then.accept(found);
+          }
+        });
+  }
+
+  private void enqueue(Runnable question) {
+    queue.add(question);
+    next();
+  }
+
+  private void next() {
+    while (open < AT_ONCE && !queue.isEmpty()) {
+      open++;
+      queue.poll().run();
+    }
+  }
+
+  /** The key as it stands; without an answer it is asked for again. */
+  private void get(String key, Consumer<Optional<Item>> then) {
+    store.get(
+        key,
+        StateStore.Urgency.NORMAL,
+        answer -> {
+          if (!wanted.getAsBoolean()) {
+            queue.clear();
+          } else if (answer instanceof Answer.Found<Item> found) {
+            open--;
+            then.accept(Optional.of(found.value()));
+            next();
+          } else if (answer instanceof Answer.Absent<Item>) {
+            open--;
+            then.accept(Optional.empty());
+            next();
+          } else {
+            loop.after(RETRY, () -> get(key, then));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/rollout/Builds.java
@@ -0,0 +1,90 @@
+package org.mulleinshift.coordination.rollout;
+
+import java.time.Duration;
+import java.util.List;
+import org.mulleinshift.bookkeeping.ControlView;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.StateStore;
+import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.protocol.NodeId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Guard;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which build each controller has shown. A process shows its own once, under a key that outlives
+ * it: a controller that had its turn does not come back older. What an older build would misread is
+ * written only after all members have shown one that reads it; since no key of these is ever taken
+ * back, every later leader finds the same.
+ */
+public final class Builds {
+  private static final Logger LOG = LoggerFactory.getLogger(Builds.class);
+  private static final Duration RETRY = Duration.ofSeconds(1);
+
+  /** Since this build a chunk of progress may be cut into parts. */
+  public static final int PARTS = 1;
+
+  private static final int OWN = PARTS;
+
+  private final EventLoop loop;
+  private final StateStore store;
+  private final NodeId self;
+  private final List<NodeId> members;
+  private final ControlView view;
+  private boolean told;
+
+  /** Of all configured members, this one included. */
+  public Builds(
+      EventLoop loop, StateStore store, NodeId self, List<NodeId> members, ControlView view) {
+    this.loop = loop;
+    this.store = store;
+    this.self = self;
+    this.members = members;
+    this.view = view;
+  }
+
+  /** Shows the build of this process. */
+  public void start() {
+    store.get(
+        Keys.build(self),
+        StateStore.Urgency.URGENT,
+        answer -> {
+          if (answer instanceof Answer.Absent<Item>) {
+            show(new Revision(0));
+          } else if (answer instanceof Answer.Found<Item> found) {
+            if (found.value().value().path("build").asInt() < OWN) {
+              show(found.value().version());
+            }
+          } else {
+            loop.after(RETRY, this::start);
+          }
+        });
+  }
+
+  private void show(Revision version) {
+    String key = Keys.build(self);
+    store.commit(
+        List.of(new Guard(key, version)),
+        List.of(Write.put(key, ControlView.buildValue(OWN))),
+        StateStore.Urgency.URGENT,
+        outcome -> {
+          if (!(outcome instanceof StateStore.Outcome.Committed)) {
+            loop.after(RETRY, this::start);
+          }
+        });
+  }
+
+  /** Whether all members have shown that build, or a newer one. */
+  public boolean all(int build) {
+    boolean all = members.stream().allMatch(node -> view.builds().getOrDefault(node, 0) >= build);
+    if (all && !told) {
+      told = true;
+      LOG.info("all controllers have shown build {}: its forms may be written", build);
+    }
+    return all;
+  }
+}
--- a/src/main/java/org/mulleinshift/protocol/JobCodec.java
+++ b/src/main/java/org/mulleinshift/protocol/JobCodec.java
@@ -4,10 +4,12 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /**
@@ -25,10 +27,6 @@
     return ID.matcher(text).matches();
   }
 
-  public static JobSpec parse(String body) throws BadMessage {
-    return parse(Json.parseObject(body));
-  }
-
   public static JobSpec parse(JsonNode node) throws BadMessage {
     String id = Json.text(node, "ref");
     if (!isJobId(id)) {
@@ -60,6 +58,25 @@
             : OptionalDouble.empty());
   }
 
+  /** The jobs that a submission awaits, each once. */
+  public static List<JobId> awaits(JsonNode node) throws BadMessage {
+    if (!node.hasNonNull("awaits")) {
+      return List.of();
+    }
+    JsonNode list = node.get("awaits");
+    if (!list.isArray()) {
+      throw new BadMessage("awaits is not a list");
+    }
+    Set<JobId> jobs = new LinkedHashSet<>();
+    for (JsonNode name : list) {
+      if (!name.isTextual() || !isJobId(name.asText())) {
+        throw new BadMessage("awaits holds something else than job ids");
+      }
+      jobs.add(new JobId(name.asText()));
+    }
+    return List.copyOf(jobs);
+  }
+
   private static <T> T oneOf(
       JsonNode node, String key, T[] values, java.util.function.Function<T, String> wire)
       throws BadMessage {
--- a/src/main/java/org/mulleinshift/protocol/StateCodec.java
+++ b/src/main/java/org/mulleinshift/protocol/StateCodec.java
@@ -47,6 +47,11 @@
       return new Write(key, Optional.of(Json.write(value)), Optional.of(hold));
     }
 
+    /** What the service counts against the limit of a value. */
+    public int bytes() {
+      return value.map(StateCodec::utf8).orElse(0);
+    }
+
     public static Write delete(String key) {
       return new Write(key, Optional.empty(), Optional.empty());
     }
@@ -54,6 +59,21 @@
 
   private StateCodec() {}
 
+  /** How long a value is for the service. */
+  public static int bytes(JsonNode value) {
+    return utf8(Json.write(value));
+  }
+
+  private static int utf8(String text) {
+    int bytes = text.length();
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      // Two bytes and, beyond that, three; a pair of surrogates takes four.
+      bytes += c < 0x80 ? 0 : c < 0x800 || Character.isSurrogate(c) ? 1 : 2;
+    }
+    return bytes;
+  }
+
   public static String keyPath(String key) {
     return "/keys/" + key;
   }
--- a/src/main/java/org/mulleinshift/settings/PlatformSettings.java
+++ b/src/main/java/org/mulleinshift/settings/PlatformSettings.java
@@ -42,8 +42,42 @@
 
   public record Workers(Duration report, Duration lease, Duration cancel) {}
 
+  /**
+   * The state service's limits.
+   *
+   * @param next those that it will have from some moment on, unannounced
+   */
   public record State(
-      double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps) {}
+      double requestsPerSecond,
+      double writesPerSecond,
+      int valueBytes,
+      int txnOps,
+      Optional<State> next) {
+    public State(double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps) {
+      this(requestsPerSecond, writesPerSecond, valueBytes, txnOps, Optional.empty());
+    }
+
+    /** What is written must fit before and after that moment. */
+    public int leastValueBytes() {
+      return Math.min(valueBytes, next.map(State::valueBytes).orElse(valueBytes));
+    }
+
+    public int leastTxnOps() {
+      return Math.min(txnOps, next.map(State::txnOps).orElse(txnOps));
+    }
+
+    /** What is left of the rate of changes after that moment. */
+    public double writesLeft() {
+      return Math.min(
+          1, next.map(State::writesPerSecond).orElse(writesPerSecond) / writesPerSecond);
+    }
+
+    /** What is left of the rate of requests after that moment. */
+    public double requestsLeft() {
+      return Math.min(
+          1, next.map(State::requestsPerSecond).orElse(requestsPerSecond) / requestsPerSecond);
+    }
+  }
 
   public record Cloud(double requestsPerSecond, Duration listLag) {}
 
--- a/src/main/java/org/mulleinshift/settings/PlatformSettingsReader.java
+++ b/src/main/java/org/mulleinshift/settings/PlatformSettingsReader.java
@@ -106,16 +106,40 @@
             seconds(workers, "cluster.workers.", "report_s"),
             seconds(workers, "cluster.workers.", "lease_s"),
             seconds(workers, "cluster.workers.", "cancel_s")),
-        new PlatformSettings.State(
-            number(state, "cluster.state.", "rps", 1, 1e9),
-            number(state, "cluster.state.", "write_rps", 1, 1e9),
-            (int) (number(state, "cluster.state.", "value_kb", 1, 1e6) * 1024),
-            (int) number(state, "cluster.state.", "txn_ops", 4, 1e6)),
+        state(state),
         new PlatformSettings.Cloud(
             number(cloud, "cluster.cloud.", "rps", 0.1, 1e9),
             Duration.ofNanos((long) (amountOrZero(cloud, "cluster.cloud.", "list_lag_s") * 1e9))));
   }
 
+  private PlatformSettings.State state(JsonNode node) throws SettingsException {
+    PlatformSettings.State now = stateLimits(node, node, "cluster.state.");
+    if (!node.hasNonNull("next")) {
+      return now;
+    }
+    JsonNode next = table(node, "cluster.state.", "next");
+    return new PlatformSettings.State(
+        now.requestsPerSecond(),
+        now.writesPerSecond(),
+        now.valueBytes(),
+        now.txnOps(),
+        Optional.of(stateLimits(next, node, "cluster.state.next.")));
+  }
+
+  /** What the table leaves out is as the other says. */
+  private PlatformSettings.State stateLimits(JsonNode node, JsonNode rest, String at)
+      throws SettingsException {
+    return new PlatformSettings.State(
+        number(holding(node, rest, "rps"), at, "rps", 1, 1e9),
+        number(holding(node, rest, "write_rps"), at, "write_rps", 1, 1e9),
+        (int) (number(holding(node, rest, "value_kb"), at, "value_kb", 1, 1e6) * 1024),
+        (int) number(holding(node, rest, "txn_ops"), at, "txn_ops", 4, 1e6));
+  }
+
+  private static JsonNode holding(JsonNode node, JsonNode rest, String key) {
+    return node.has(key) ? node : rest;
+  }
+
   private JsonNode table(JsonNode parent, String at, String key) throws SettingsException {
     JsonNode node = parent.path(key);
     if (!node.isObject()) {
--- a/src/test/java/org/mulleinshift/bookkeeping/StoredRecordsTest.java
+++ b/src/test/java/org/mulleinshift/bookkeeping/StoredRecordsTest.java
@@ -70,8 +70,8 @@
     JsonNode stored =
         Json.parseObject(
             "{\"done\":\"0-2\",\"at\":[{\"b\":\"a-0\",\"n\":7,\"r\":\"3-4\"}],\"new\":9}");
-    job.load(0, stored, block -> new ZoneId("a"));
-    assertEquals(Json.write(stored), Json.write(job.progress(0)));
+    job.load(Part.chunk(0), stored, block -> new ZoneId("a"));
+    assertEquals(Json.write(stored), Json.write(job.progress(Part.chunk(0))));
   }
 
   @ParameterizedTest
@@ -89,7 +89,7 @@
   void ofProgressThatCantBeReadNothingIsTaken(String stored) throws BadMessage {
     Job job = new Job(read(job("", "")).get());
     JsonNode value = Json.parseObject(stored);
-    assertThrows(BadMessage.class, () -> job.load(0, value, block -> new ZoneId("a")));
+    assertThrows(BadMessage.class, () -> job.load(Part.chunk(0), value, block -> new ZoneId("a")));
     assertEquals(8, job.waitingCount());
     assertEquals(0, job.doneCount());
   }
--- a/src/test/java/org/mulleinshift/coordination/membership/ProofTest.java
+++ b/src/test/java/org/mulleinshift/coordination/membership/ProofTest.java
@@ -41,7 +41,12 @@
   private final Links links = new Links(loop, SELF);
   private boolean cut;
   private final StateStore store =
-      new StateStore(loop, this::state, this::state, new InetSocketAddress(1), 1000, 1000);
+      new StateStore(
+          loop,
+          this::state,
+          this::state,
+          new InetSocketAddress(1),
+          new StateStore.Rates(1000, 1000, 1, 1));
   private final StateLink link =
       new StateLink(
           loop,
--- a/src/test/java/org/mulleinshift/sim/RuleBook.java
+++ b/src/test/java/org/mulleinshift/sim/RuleBook.java
@@ -1,6 +1,8 @@
 package org.mulleinshift.sim;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -15,6 +17,7 @@
     final String id;
     final Map<String, String> fields;
     final int tasks;
+    final List<String> awaits;
     final Set<Integer> done = new HashSet<>();
     boolean submitted;
     boolean accepted;
@@ -31,6 +34,8 @@
     TrueJob(String id, Map<String, String> fields) {
       this.id = id;
       this.fields = fields;
+      this.awaits =
+          fields.containsKey("awaits") ? List.of(fields.get("awaits").split(",")) : List.of();
       this.tasks = Integer.parseInt(fields.getOrDefault("tasks", "1"));
     }
 
@@ -135,6 +140,11 @@
     if (job.cancelledAt != null && world.seconds() > job.cancelledAt + cancelSeconds) {
       violated("ran_cancelled", task + " started on " + machine);
     }
+    for (String need : job.awaits) {
+      if (jobs.get(need).done.size() < jobs.get(need).tasks) {
+        violated("too_early", task + " before " + need + " was done");
+      }
+    }
     running.put(task, new OnMachine(machine, zone));
     String team = job.fields.getOrDefault("team", "t");
     if (teamLimits.getOrDefault(team, 0.0) > 0 && used(team) > teamLimits.get(team) + 1e-6) {
@@ -195,6 +205,22 @@
     }
   }
 
+  /** When a user was told first that a job which this one needs is cancelled; null: nobody was. */
+  private Double fallenAt(TrueJob job) {
+    Double first = null;
+    Set<String> seen = new HashSet<>(job.awaits);
+    Deque<String> open = new ArrayDeque<>(job.awaits);
+    while (!open.isEmpty()) {
+      TrueJob need = jobs.get(open.poll());
+      if (need.cancelledAt != null) {
+        double since = Math.max(need.cancelledAt, job.submittedAt);
+        first = first == null ? since : Math.min(first, since);
+      }
+      need.awaits.stream().filter(seen::add).forEach(open::add);
+    }
+    return first;
+  }
+
   void end() {
     running.keySet().forEach(this::checkCancelled);
   }
@@ -227,7 +253,12 @@
     if (wasOver && !phase.equals(job.told)) {
       violated("went_back", id + " from " + job.told + " to " + phase);
     }
-    if (phase.equals("cancelled") && !job.cancelAsked) {
+    Double fallen = fallenAt(job);
+    boolean open = !phase.equals("done") && !phase.equals("cancelled");
+    if (open && fallen != null && world.seconds() > fallen + cancelSeconds) {
+      violated("orphaned", id + " is called " + phase);
+    }
+    if (phase.equals("cancelled") && !job.cancelAsked && fallen == null) {
       violated("went_back", id + " cancelled by nobody");
     }
     if (phase.equals("done") && job.done.size() < job.tasks) {
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -47,8 +47,9 @@
   private double reportSeconds = 2;
   private double leaseSeconds = 12;
   private double cancelSeconds = 32;
-  private double stateRate = 200;
-  private double stateWrites = 40;
+  private PlatformSettings.State limits;
+  private Map<String, String> stateFields = Map.of();
+  private Map<String, String> nextFields = Map.of();
   private int nodeCount = 3;
   private double end = 120;
 
@@ -58,7 +59,15 @@
     }
     world = new World(seed);
     network = new Network(world);
-    state = new SimState(world, 8192, 12, stateRate, stateWrites);
+    PlatformSettings.State now = limits(stateFields, java.util.Optional.empty());
+    limits =
+        nextFields.isEmpty()
+            ? now
+            : limits(
+                stateFields, java.util.Optional.of(limits(nextFields, java.util.Optional.empty())));
+    state =
+        new SimState(
+            world, now.valueBytes(), now.txnOps(), now.requestsPerSecond(), now.writesPerSecond());
     rules = new RuleBook(world, teamLimits, cancelSeconds);
     cloud = new SimCloud(world, 4, this::startWorker);
     for (String[] words : actions) {
@@ -128,11 +137,8 @@
                 Double.parseDouble(fields.getOrDefault("within", "0")),
                 Double.parseDouble(fields.getOrDefault("times", "0"))));
       }
-      case "state" -> {
-        Map<String, String> fields = fields(words, 1);
-        stateRate = Double.parseDouble(fields.getOrDefault("rps", "200"));
-        stateWrites = Double.parseDouble(fields.getOrDefault("writes", "40"));
-      }
+      case "state" -> stateFields = fields(words, 1);
+      case "next" -> nextFields = fields(words, 1);
       case "set" -> tunables.put(words[1], Double.parseDouble(words[2]));
       case "run" -> end = Double.parseDouble(words[1]);
       case "expect" -> expectations.add(words);
@@ -141,6 +147,17 @@
     }
   }
 
+  /** {@code rps=200 writes=40 kb=8 ops=12}. */
+  private static PlatformSettings.State limits(
+      Map<String, String> fields, java.util.Optional<PlatformSettings.State> next) {
+    return new PlatformSettings.State(
+        Double.parseDouble(fields.getOrDefault("rps", "200")),
+        Double.parseDouble(fields.getOrDefault("writes", "40")),
+        (int) (1024 * Double.parseDouble(fields.getOrDefault("kb", "8"))),
+        Integer.parseInt(fields.getOrDefault("ops", "12")),
+        next);
+  }
+
   private static Map<String, String> fields(String[] words, int from) {
     Map<String, String> fields = new HashMap<>();
     for (int i = from; i < words.length; i++) {
@@ -217,7 +234,7 @@
             aims,
             new PlatformSettings.Workers(
                 millis(reportSeconds), millis(leaseSeconds), millis(cancelSeconds)),
-            new PlatformSettings.State(stateRate, stateWrites, 8192, 12),
+            limits,
             new PlatformSettings.Cloud(8, Duration.ofSeconds(4))),
         new PlatformSettings.Limits(1, 200, 500));
   }
@@ -242,6 +259,13 @@
     switch (words[0]) {
       case "job" -> submit(words);
       case "swarm" -> swarm(words);
+      case "chain" -> chain(words);
+      case "star" -> star(words);
+      case "fan" -> {
+        Map<String, String> own = new HashMap<>(fields(words, 4));
+        own.put("awaits", numbered(words[2], Integer.parseInt(words[3])));
+        submit(words[1], own);
+      }
       case "polls" -> pollStorm(Double.parseDouble(words[1]), Double.parseDouble(words[2]));
       case "resubmit" -> resubmit(words);
       case "cancel" -> users.get(words[1]).cancel();
@@ -306,6 +330,40 @@
     }
   }
 
+  /**
+   * {@code chain run-5 200 0.1 tasks=1}: jobs run-50000 to run-50199, each awaits the one before.
+   */
+  private void chain(String[] words) {
+    Map<String, String> fields = fields(words, 4);
+    for (int i = 0; i < Integer.parseInt(words[2]); i++) {
+      String id = words[1] + String.format("%04d", i);
+      Map<String, String> own = new HashMap<>(fields);
+      if (i > 0) {
+        own.put("awaits", words[1] + String.format("%04d", i - 1));
+      }
+      world.after(Double.parseDouble(words[3]) * i, () -> submit(id, own));
+    }
+  }
+
+  /** {@code star run-5 run-1 200 0.1 tasks=1}: jobs run-50000 to run-50199 all await run-1. */
+  private void star(String[] words) {
+    Map<String, String> own = new HashMap<>(fields(words, 5));
+    own.put("awaits", words[2]);
+    for (int i = 0; i < Integer.parseInt(words[3]); i++) {
+      String id = words[1] + String.format("%04d", i);
+      world.after(Double.parseDouble(words[4]) * i, () -> submit(id, own));
+    }
+  }
+
+  /** The names of so many jobs of a swarm. */
+  private static String numbered(String prefix, int count) {
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      names.add(prefix + String.format("%04d", i));
+    }
+    return String.join(",", names);
+  }
+
   private void pollStorm(double factor, double seconds) {
     users.values().forEach(user -> user.pollFactor(factor));
     world.after(seconds, () -> users.values().forEach(user -> user.pollFactor(1)));
@@ -372,6 +430,11 @@
       case "refuse" -> state.refuse(hostOf(words[2]), Double.parseDouble(words[3]));
       case "mute" -> state.mute(hostOf(words[2]), Double.parseDouble(words[3]));
       case "compact" -> state.compact();
+      case "fall" -> {
+        PlatformSettings.State next = limits.next().get();
+        state.limits(
+            next.valueBytes(), next.txnOps(), next.requestsPerSecond(), next.writesPerSecond());
+      }
       case "late" -> state.late(Double.parseDouble(words[2]), Double.parseDouble(words[3]));
       case "rewrite" -> state.rewrite(words[2], words[3], words[4]);
       case "flood" -> state.flood(words[2], Integer.parseInt(words[3]), Integer.parseInt(words[4]));
@@ -493,6 +556,7 @@
       }
       case "granted" -> atMost(line, (int) state.grantedAfter(Double.parseDouble(words[2])), limit);
       case "refusals" -> atMost(line, cloud.refusals(), Double.parseDouble(words[2]));
+      case "unfit" -> atMost(line, state.unfit(), Double.parseDouble(words[2]));
       case "refused" -> atMost(line, state.refused(), Double.parseDouble(words[2]));
       case "accepted" -> atLeast(line, rules.acceptedWithin(words[2], limit), 0.97);
       case "all-done" -> atLeast(line, rules.doneShare(words[2]), 1);
--- a/src/test/java/org/mulleinshift/sim/SimState.java
+++ b/src/test/java/org/mulleinshift/sim/SimState.java
@@ -45,8 +45,8 @@
   private final List<Watch> watches = new ArrayList<>();
   private final Map<String, Double> refusedUntil = new HashMap<>();
   private final Map<String, Double> mutedUntil = new HashMap<>();
-  private final int valueBytes;
-  private final int txnOps;
+  private int valueBytes;
+  private int txnOps;
   private double outageUntil;
   private long epoch;
   private long nextHold = 1;
@@ -61,10 +61,11 @@
   private double lateUntil;
   private double lateBy;
   private int refused;
+  private int unfit;
 
   /** A rate with one second's worth of burst. */
   private final class Bucket {
-    private final double rate;
+    private double rate;
     private double tokens;
     private double filledAt;
 
@@ -100,6 +101,19 @@
         seconds, () -> holds.values().forEach(hold -> hold.end = world.seconds() + hold.ttl));
   }
 
+  /** From now on the service takes less. What is stored stays readable. */
+  void limits(int bytes, int ops, double rate, double writeRate) {
+    valueBytes = bytes;
+    txnOps = ops;
+    requestBudget.rate = rate;
+    writeBudget.rate = writeRate;
+  }
+
+  /** Requests refused for good, other than for a lease that is over. */
+  int unfit() {
+    return unfit;
+  }
+
   void refuse(String node, double seconds) {
     refusedUntil.put(node, world.seconds() + seconds);
   }
@@ -299,10 +313,12 @@
   private HttpReply commit(JsonNode body) {
     JsonNode wanted = body.path("writes");
     if (wanted.size() > txnOps || body.path("guards").size() > 4 * txnOps) {
+      unfit++;
       return new HttpReply(400, "{\"error\":\"too many operations\"}");
     }
     for (JsonNode write : wanted) {
       if (write.path("value").toString().length() > valueBytes) {
+        unfit++;
         return new HttpReply(400, "{\"error\":\"value too long\"}");
       }
       if (write.has("hold") && !holds.containsKey(write.get("hold").asLong())) {
--- a/src/test/java/org/mulleinshift/sim/SimUser.java
+++ b/src/test/java/org/mulleinshift/sim/SimUser.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -65,7 +66,13 @@
     body.put("guess_s", job.number("guess", job.number("run", 10)));
     body.put("snapshot_s", 0.0);
     body.put("flush_s", 0.0);
-    body.put("due_s", job.number("due", 120));
+    if (!job.fields.getOrDefault("due", "").equals("none")) {
+      body.put("due_s", job.number("due", 120));
+    }
+    if (!job.awaits.isEmpty()) {
+      ArrayNode awaits = body.putArray("awaits");
+      job.awaits.forEach(awaits::add);
+    }
     return body.toString();
   }
 
