--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -336,6 +336,8 @@
     boolean newSession = report.moment().session() > machine.moment().session();
     if (newSession && machine.moment().session() > 0) {
       LOG.info("{} began session {}", machine.id(), report.moment().session());
+      // It was answered and ended its session all the same: the answers may not reach it.
+      machine.raiseToken(loop.now());
     }
     Set<TaskId> listed = new HashSet<>();
     List<WorkerReport.Entry> strays = new ArrayList<>();
@@ -631,10 +633,12 @@
       Duration answered = around.blockLease().plus(quiet);
       gone = answered.compareTo(gone) > 0 ? answered : gone;
     }
-    if (silent.compareTo(gone) > 0) {
+    Duration deaf = machine.deafSince().map(now::since).orElse(Duration.ZERO);
+    if (silent.compareTo(gone) > 0 || deaf.compareTo(around.timing().lease().multipliedBy(2)) > 0) {
       return HeldMachine.Silence.GONE;
     }
-    return silent.compareTo(quiet) >= 0 ? HeldMachine.Silence.QUIET : HeldMachine.Silence.HEARD;
+    boolean quietOrDeaf = silent.compareTo(quiet) >= 0 || machine.deafSince().isPresent();
+    return quietOrDeaf ? HeldMachine.Silence.QUIET : HeldMachine.Silence.HEARD;
   }
 
   /** Orders that need not wait for the next report. */
@@ -700,7 +704,10 @@
     }
     // The orders may be carried out minutes later; under a higher token they no longer can. The
     // next report's answer repeats what still holds.
-    machine.raiseToken();
+    machine.raiseToken(loop.now());
+    if (machine.silence(silenceOf(machine, loop.now()))) {
+      news(machine.id());
+    }
   }
 
   BlockReporting reports() {
--- a/src/main/java/org/mulleinshift/coordination/HeldMachine.java
+++ b/src/main/java/org/mulleinshift/coordination/HeldMachine.java
@@ -33,6 +33,7 @@
   private String address = "";
   private Optional<SteadyTime> answeredAt = Optional.empty();
   private Optional<SteadyTime> reachedAt = Optional.empty();
+  private Optional<SteadyTime> echoAwaited = Optional.empty();
   private Optional<Duration> recall = Optional.empty();
   private static final String OCCUPIED = "OCCUPIED";
 
@@ -51,7 +52,7 @@
   /** For how long a machine has not been heard, as far as it matters to the leader. */
   enum Silence {
     HEARD,
-    /** Reports are missing: it takes nothing new. */
+    /** Reports are missing, or it may not hear this node: it takes nothing new. */
     QUIET,
     /** For longer than its lease. */
     GONE
@@ -77,9 +78,19 @@
     phase = next;
   }
 
-  /** From now on whatever was sent under the old token is dropped by the worker. */
-  void raiseToken() {
+  /**
+   * Orders were not answered: from now on whatever was sent under the old token is dropped by a
+   * worker that hears the new one. Until it shows that it does, nobody knows whether it hears
+   * anything, whatever it says.
+   */
+  void raiseToken(SteadyTime now) {
     token = new FencingToken(token.value() + 1);
+    echoAwaited = Optional.of(echoAwaited.orElse(now));
+  }
+
+  /** Since when it has shown no sign that it hears this node; empty if it has. */
+  Optional<SteadyTime> deafSince() {
+    return echoAwaited;
   }
 
   void adoptToken(FencingToken seen) {
@@ -92,6 +103,9 @@
     moment = report.moment();
     address = report.address();
     recall = report.recall();
+    if (report.highestToken().compareTo(token) >= 0) {
+      echoAwaited = Optional.empty();
+    }
   }
 
   /** All that the report says was taken over. */
@@ -107,6 +121,7 @@
   boolean repeats(WorkerReport report) {
     return bindings == absorbedBindings
         && phase == MachinePhase.CONFIRMED
+        && echoAwaited.isEmpty()
         && strays.isEmpty()
         && report.moment().session() == moment.session()
         && report.recall().isPresent() == recall.isPresent()
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -52,6 +52,9 @@
   private Map<String, String> nextFields = Map.of();
   private int nodeCount = 3;
   private double end = 120;
+  private double copiesUntil;
+  private double copiesFrom;
+  private double copiesTo;
 
   private Scenario(List<String> lines, long seed) {
     for (String line : lines) {
@@ -272,6 +275,11 @@
       case "poll" -> users.computeIfAbsent(words[1], this::stranger);
       case "ask" -> ask(words);
       case "crash" -> crash(words);
+      case "copies" -> {
+        copiesUntil = world.seconds() + Double.parseDouble(words[3]);
+        copiesFrom = Double.parseDouble(words[1]);
+        copiesTo = Double.parseDouble(words[2]);
+      }
       case "stall" -> node(words[1]).stall(Double.parseDouble(words[2]));
       case "cut", "cut-one-way" ->
           network.cut(
@@ -461,12 +469,17 @@
       return;
     }
     List<SimCloud.Machine> hit =
-        words[1].equals("all") ? up : List.of(up.get(Integer.parseInt(words[1]) % up.size()));
+        switch (words[1]) {
+          case "all" -> up;
+          case "half" -> up.subList(0, up.size() / 2);
+          default -> List.of(up.get(Integer.parseInt(words[1]) % up.size()));
+        };
     for (SimCloud.Machine machine : hit) {
       switch (words[2]) {
         case "hang" -> machine.worker.hang(Double.parseDouble(words[3]));
         case "kill" -> cloud.remove(machine);
         case "sick" -> machine.worker.sick();
+        case "deaf" -> machine.worker.deaf(Double.parseDouble(words[3]));
         case "slow" -> machine.worker.slow(Double.parseDouble(words[3]));
         case "recall" -> {
           double notice = Double.parseDouble(words[3]);
@@ -681,6 +694,18 @@
 
     @Override
     public void checkin(SimWorker worker, int node, String body, Consumer<HttpReply> reply) {
+      if (world.seconds() < copiesUntil) {
+        // A copy that comes late, to any controller; nobody hears what is answered.
+        double late = copiesFrom + (copiesTo - copiesFrom) * world.random();
+        SimNode any = nodes.get((int) (world.random() * nodes.size()));
+        world.after(
+            late,
+            () -> {
+              if (any.alive()) {
+                any.request("POST", "/checkin", body, answer -> {});
+              }
+            });
+      }
       SimNode target = nodes.get(node);
       network.deliver(
           "worker",
--- a/src/test/java/org/mulleinshift/sim/SimWorker.java
+++ b/src/test/java/org/mulleinshift/sim/SimWorker.java
@@ -52,6 +52,7 @@
   private final Set<String> images = new HashSet<>();
   private final List<Runnable> asleep = new ArrayList<>();
   private double hangUntil;
+  private double deafUntil;
   private double slowFactor = 1;
   private boolean sick;
   private boolean gone;
@@ -101,6 +102,11 @@
         });
   }
 
+  /** Its reports arrive; what is said to it doesn't. */
+  void deaf(double seconds) {
+    deafUntil = world.seconds() + seconds;
+  }
+
   void sick() {
     sick = true;
   }
@@ -217,7 +223,7 @@
         reply ->
             awake(
                 () -> {
-                  if (mine == reportNumber && inFlight) {
+                  if (mine == reportNumber && inFlight && world.seconds() >= deafUntil) {
                     inFlight = false;
                     answered(reply, sent, sentSession);
                   }
@@ -276,6 +282,9 @@
 
   /** Direct commands; they come late if the machine hangs. */
   void direct(HttpRequest request, Consumer<HttpReply> reply) {
+    if (world.seconds() < deafUntil) {
+      return;
+    }
     awake(
         () -> {
           JsonNode body = parse(request.body().orElse(""));
