--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -71,6 +71,7 @@
   private final Map<Integer, Integer> tries = new HashMap<>();
   private final Map<Integer, SteadyTime> pausedUntil = new HashMap<>();
   private final Map<ZoneId, Integer> perZone = new HashMap<>();
+  private OptionalLong begunMillis = OptionalLong.empty();
   private int failures;
   private double runSecondsTotal;
   private int runCount;
@@ -283,6 +284,35 @@
     notBefore.ifPresent(time -> pausedUntil.put(delegation.task().index(), time));
   }
 
+  /** A task of it runs. */
+  public void begun(long atMillis) {
+    if (begunMillis.isEmpty()) {
+      begunMillis = OptionalLong.of(atMillis);
+    }
+  }
+
+  /** Whether any of its tasks ran, as far as this leader or the store knows. */
+  public boolean hasBegun() {
+    return begunMillis.isPresent() || !done.isEmpty();
+  }
+
+  /** How it fared, for operators. */
+  public String summary(long nowMillis) {
+    String begun =
+        begunMillis.isPresent()
+            ? Math.max(0, (begunMillis.getAsLong() - readyMillis()) / 1000) + " s"
+            : "an unknown time";
+    return String.format(
+        "%d tasks of %s, begun after %s, over after %d s, due %s",
+        spec.tasks(),
+        spec.jobClass(),
+        begun,
+        (nowMillis - acceptedMillis) / 1000,
+        spec.deadlineSeconds().isPresent()
+            ? Math.round(spec.deadlineSeconds().getAsDouble()) + " s"
+            : "at no time");
+  }
+
   public void countFailure() {
     failures++;
   }
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -484,7 +484,10 @@
     switch (TaskPhase.valueOf(report.getPhase())) {
       case NEW -> delegation.unplaced();
       case STARTING, FETCHING -> delegation.placed(machine);
-      case RUNNING, SAVING -> delegation.running(machine, since);
+      case RUNNING, SAVING -> {
+        delegation.running(machine, since);
+        job.begun(loop.wallMillis());
+      }
       case DONE -> {
         blame.succeeded(job, machine);
         double seconds = report.getRanMs() / 1000.0;
--- a/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
+++ b/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
@@ -253,7 +253,7 @@
     @Override
     public void committed(Revision revision) {
       JobId id = job.spec().id();
-      LOG.info("job {} {}", id, job.endPhase().wire());
+      LOG.info("job {} {}: {}", id, job.endPhase().wire(), job.summary(atMillis));
       List.copyOf(job.parts().inStore()).forEach(part -> remove(job, part));
       for (int list = 0; list < job.awaits().lists(); list++) {
         String key = Keys.awaited(id, job.awaits().digest(), list);
--- a/src/test/java/org/mulleinshift/sim/SimWorker.java
+++ b/src/test/java/org/mulleinshift/sim/SimWorker.java
@@ -53,6 +53,7 @@
   private final List<Runnable> asleep = new ArrayList<>();
   private double hangUntil;
   private double deafUntil;
+  private boolean dropsAnswers;
   private double slowFactor = 1;
   private boolean sick;
   private boolean gone;
@@ -102,9 +103,13 @@
         });
   }
 
-  /** Its reports arrive; what is said to it doesn't. */
-  void deaf(double seconds) {
+  /**
+   * Its reports arrive; what is said to it doesn't: it tries other nodes, or takes what comes for
+   * an answer that it must drop, and stays.
+   */
+  void deaf(double seconds, boolean stays) {
     deafUntil = world.seconds() + seconds;
+    dropsAnswers = stays;
   }
 
   void sick() {
@@ -223,9 +228,12 @@
         reply ->
             awake(
                 () -> {
-                  if (mine == reportNumber && inFlight && world.seconds() >= deafUntil) {
+                  boolean deaf = world.seconds() < deafUntil;
+                  if (mine == reportNumber && inFlight && !(deaf && !dropsAnswers)) {
                     inFlight = false;
-                    answered(reply, sent, sentSession);
+                    if (!deaf) {
+                      answered(reply, sent, sentSession);
+                    }
                   }
                 }));
     world.after(
