--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -105,7 +105,7 @@
     this.valueBytes = cluster.state().leastValueBytes();
     this.accepted =
         new AcceptedCheck(store, job -> active.containsKey(job) || ended.containsKey(job));
-    this.lists = new ListWriter(store, valueBytes, cluster.state().leastTxnOps());
+    this.lists = new ListWriter(loop, store, valueBytes, cluster.state().leastTxnOps());
     this.retryAfter = retryAfter;
     this.prover = prover;
     this.pressure = pressure;
--- a/src/main/java/org/mulleinshift/coordination/chains/ListWriter.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/ListWriter.java
@@ -1,8 +1,11 @@
 package org.mulleinshift.coordination.chains;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.UUID;
 import java.util.function.Consumer;
 import org.mulleinshift.bookkeeping.Awaits;
@@ -13,18 +16,39 @@
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec.Guard;
 import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.transport.EventLoop;
 
 /**
  * Stores what a job awaits in lists of their own, before its record names them. The keys hold a
- * digest of all the names, so that nothing of another attempt is mixed in, and every write demands
- * that the job is not accepted yet: one that is applied late changes nothing of an accepted job.
+ * digest of the job and all the names, so that nothing of another attempt is mixed in, and every
+ * write demands that the job is not accepted yet: one that is applied late changes nothing of an
+ * accepted job.
  */
 public final class ListWriter {
+  private static final Duration BUSY_PAUSE = Duration.ofMillis(250);
+
+  /** Within the time that a user waits for an answer. */
+  private static final int BUSY_TRIES = 14;
+
+  /** Submissions whose lists were begun: a retry goes on where the last one was given up on. */
+  private static final int REMEMBERED = 64;
+
+  private final EventLoop loop;
   private final StateStore store;
+  private final Map<String, Integer> begun =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
+          return size() > REMEMBERED;
+        }
+      };
   private final int valueBytes;
   private final int mostOps;
 
-  public ListWriter(StateStore store, int valueBytes, int mostOps) {
+  public ListWriter(EventLoop loop, StateStore store, int valueBytes, int mostOps) {
+    this.loop = loop;
     this.store = store;
     this.valueBytes = valueBytes;
     this.mostOps = mostOps;
@@ -33,7 +57,7 @@
   /** Tells what the record is to hold, or a failure: then nothing was accepted. */
   public void write(
       JobId job, List<JobId> awaited, Consumer<Awaits> written, Consumer<Outcome> failed) {
-    String names = awaited.toString();
+    String names = job + " " + awaited;
     String digest = UUID.nameUUIDFromBytes(names.getBytes(StandardCharsets.UTF_8)).toString();
     List<List<JobId>> lists = Awaits.cut(awaited, valueBytes);
     List<Write> writes = new ArrayList<>();
@@ -41,12 +65,19 @@
       writes.add(Write.put(Keys.awaited(job, digest, i), Awaits.list(lists.get(i))));
     }
     Awaits record = new Awaits(List.of(), lists.size(), digest);
-    next(job, writes, () -> written.accept(record), failed);
+    Attempt attempt = new Attempt(job, digest, writes, () -> written.accept(record), failed);
+    next(attempt, BUSY_TRIES);
   }
 
-  private void next(JobId job, List<Write> left, Runnable written, Consumer<Outcome> failed) {
+  private record Attempt(
+      JobId job, String digest, List<Write> writes, Runnable written, Consumer<Outcome> failed) {}
+
+  private void next(Attempt attempt, int tries) {
+    JobId job = attempt.job();
+    int from = begun.getOrDefault(attempt.digest(), 0);
+    List<Write> left = attempt.writes().subList(from, attempt.writes().size());
     if (left.isEmpty()) {
-      written.run();
+      attempt.written().run();
       return;
     }
     List<Write> batch = left.subList(0, Math.min(mostOps, left.size()));
@@ -58,9 +89,12 @@
         StateStore.Urgency.PROMPT,
         outcome -> {
           if (outcome instanceof Outcome.Committed) {
-            next(job, left.subList(batch.size(), left.size()), written, failed);
+            begun.put(attempt.digest(), from + batch.size());
+            next(attempt, tries);
+          } else if (outcome instanceof Outcome.Busy && tries > 0) {
+            loop.after(BUSY_PAUSE, () -> next(attempt, tries - 1));
           } else {
-            failed.accept(outcome);
+            attempt.failed().accept(outcome);
           }
         });
   }
--- a/src/test/java/org/mulleinshift/RandomScenarioTest.java
+++ b/src/test/java/org/mulleinshift/RandomScenarioTest.java
@@ -22,6 +22,14 @@
     return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]));
   }
 
+  @ParameterizedTest(name = "chains, seed {0}")
+  @MethodSource("seeds")
+  void endsChains(long seed) throws SettingsException {
+    List<String> lines = RandomScenario.chainedLines(seed);
+    assertEquals(
+        List.of(), Scenario.play(lines, seed), "seed " + seed + "\n" + String.join("\n", lines));
+  }
+
   @ParameterizedTest(name = "seed {0}")
   @MethodSource("seeds")
   void keepsRulesAndEndsJobs(long seed) throws SettingsException {
--- a/src/test/java/org/mulleinshift/sim/RandomScenario.java
+++ b/src/test/java/org/mulleinshift/sim/RandomScenario.java
@@ -46,6 +46,83 @@
     return lines;
   }
 
+  /**
+   * The lines of a scenario of pipelines, with the limits of the state service falling, one or more
+   * jobs cancelled, and the troubles that came last among all others.
+   */
+  public static List<String> chainedLines(long seed) {
+    return new RandomScenario(seed).drawChained();
+  }
+
+  private List<String> drawChained() {
+    add("nodes %d", random.nextBoolean() ? 3 : 5);
+    add("state rps=100 writes=30 kb=8 ops=12");
+    add("next rps=80 writes=18 kb=1 ops=4");
+    add("type small cpus=8 boot=8 price=1 a=8/4 b=8/4");
+    add("team t max=60");
+    add("team u max=0");
+    add("at 3 job run-1 tasks=%d cpus=0.5 run=%d team=u", 150, 5 + random.nextInt(30));
+    int pipelines = 2 + random.nextInt(5);
+    for (int i = 0; i < pipelines; i++) {
+      drawPipeline(i);
+    }
+    add("at %.1f state fall", when());
+    int troubles = 2 + random.nextInt(4);
+    for (int i = 0; i < troubles; i++) {
+      if (random.nextInt(3) == 0) {
+        drawTrouble();
+      } else {
+        drawLateTrouble();
+      }
+    }
+    add("run %.0f", END);
+    add("expect done run-1 by %.0f", END);
+    add("expect keys a/ max 0");
+    add("expect unfit 0");
+    return lines;
+  }
+
+  /** Four stages; some name an earlier ordinary job, some are submitted late or cancelled. */
+  private void drawPipeline(int number) {
+    String id = "run-p" + number + "-";
+    double at = 5 + 70 * random.nextDouble();
+    String first = random.nextInt(3) == 0 ? " awaits=run-1" : "";
+    String form = "at %.1f job %s tasks=%d cpus=1 run=%d team=%s due=none priority=idle%s";
+    add(form, at, id + 0, 1 + random.nextInt(8), 2 + random.nextInt(9), one("t", "u"), first);
+    String middle = " awaits=" + id + "0";
+    add(form, at + 1, id + 1, 1 + random.nextInt(8), 2 + random.nextInt(9), "t", middle);
+    add(form, at + 1, id + 2, 1 + random.nextInt(8), 2 + random.nextInt(9), "u", middle);
+    double last = random.nextInt(4) == 0 ? at + 40 + 60 * random.nextDouble() : at + 2.5;
+    String all = " awaits=" + id + "0," + id + "1," + id + "2";
+    add(form, last, id + 3, 1 + random.nextInt(4), 2 + random.nextInt(5), "t", all);
+    if (random.nextInt(3) == 0) {
+      int stage = random.nextInt(4);
+      double from = stage == 3 ? last : at + 1;
+      add("at %.1f cancel %s%d", from + 1 + 60 * random.nextDouble(), id, stage);
+    }
+  }
+
+  private void drawLateTrouble() {
+    double at = when();
+    double length = 3 + 40 * random.nextDouble();
+    String who = node();
+    switch (random.nextInt(6)) {
+      case 0 -> add("at %.1f machine %d deaf %.1f", Math.max(at, 30), random.nextInt(6), length);
+      case 1 ->
+          add("at %.1f machine %s deaf %.1f stays", Math.max(at, 30), one("0", "half"), length);
+      case 2 -> add("at %.1f copies 1 40 %.1f", at, length);
+      case 3 -> {
+        add("at %.1f cut %s state %.1f hold", at, who, length);
+        add("at %.1f cut %s node-* %.1f hold", at, who, length);
+      }
+      case 4 -> add("at %.1f crash %s %s", at, one(who, "all"), one("0.05", "0.2"));
+      default -> {
+        add("at %.1f crash %s %s", at, who, one("0.05", "0.2", "3"));
+        add("at %.1f crash leader %s", at + 0.5 + random.nextDouble(), one("0.05", "0.2"));
+      }
+    }
+  }
+
   private void add(String format, Object... values) {
     lines.add(String.format(Locale.ROOT, format, values));
   }
