--- a/src/test/java/org/mulleinshift/bookkeeping/StoredRecordsTest.java
+++ b/src/test/java/org/mulleinshift/bookkeeping/StoredRecordsTest.java
@@ -6,12 +6,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.BlockId;
+import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.Json;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec.Item;
@@ -94,6 +96,37 @@
     assertEquals(0, job.doneCount());
   }
 
+  /** Builds before chains look for {@code at} beside {@code spec}, and set aside what lacks it. */
+  @Test
+  void aChainedRecordIsNothingToOlderBuilds() throws BadMessage {
+    Awaits awaits = Awaits.of(List.of(new JobId("run-7"), new JobId("run-8")));
+    JsonNode chained = JobRecord.value(read(job("", "")).get().spec(), awaits, 5, false);
+    assertTrue(chained.path("at").isMissingNode());
+    JobRecord record = read(chained).get();
+    assertEquals(awaits, record.awaits());
+    assertEquals(5, record.acceptedMillis());
+    assertEquals(awaits, read(record.cancelledValue()).get().awaits());
+    assertEquals(Job.State.HELD, new Job(record).state());
+    assertEquals("t", JobRecord.footprint(chained).team().get().value());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "{\"at\":5}",
+        "{\"at\":5,\"awaits\":[]}",
+        "{\"at\":5,\"awaits\":[3]}",
+        "{\"at\":5,\"awaits\":[\"job\"]}",
+        "{\"awaits\":[\"run-7\"]}",
+        "{\"at\":5,\"lists\":0,\"digest\":\"d\"}",
+        "{\"at\":5,\"lists\":2}"
+      })
+  void aChainThatCantBeReadIsNoJobWithoutOne(String chain) throws BadMessage {
+    ObjectNode stored = (ObjectNode) job("", "");
+    stored.set("chain", Json.parseObject(chain));
+    assertTrue(read(stored).isEmpty());
+  }
+
   @Test
   void anUnknownEndIsNoEnd() throws BadMessage {
     JsonNode archived = Json.parseObject("{\"phase\":\"archived\"}");
