--- a/src/test/java/org/mulleinshift/sim/RuleBook.java
+++ b/src/test/java/org/mulleinshift/sim/RuleBook.java
@@ -30,6 +30,7 @@
     double submittedAt;
     int starts;
     int polls404;
+    double answeredAt;
 
     TrueJob(String id, Map<String, String> fields) {
       this.id = id;
@@ -51,6 +52,8 @@
   /** Users poll every 5 s, and what they are told may lag by 3 s. */
   private static final double TOLD_AFTER = 8;
 
+  private static final double FORGOTTEN_AFTER = 75;
+
   private record OnMachine(String machine, String zone) {}
 
   private final World world;
@@ -221,7 +224,18 @@
     return first;
   }
 
-  void end() {
+  /**
+   * Once troubles are over users hear of every accepted job, and what was accepted runs.
+   *
+   * @param calmSince when the last trouble was over
+   */
+  void end(double calmSince) {
+    for (TrueJob job : jobs.values()) {
+      double silent = world.seconds() - Math.max(job.answeredAt, calmSince);
+      if (job.accepted && silent > FORGOTTEN_AFTER) {
+        violated("forgotten", job.id + " had no answer for " + Math.round(silent) + " s");
+      }
+    }
     running.keySet().forEach(this::checkCancelled);
   }
 
@@ -246,6 +260,7 @@
       return;
     }
     job.accepted = true;
+    job.answeredAt = world.seconds();
     if (job.acceptedAt == null) {
       job.acceptedAt = world.seconds();
     }
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.settings.SettingsException;
@@ -25,6 +26,12 @@
  */
 public final class Scenario {
   private static final double RESTART_SECONDS = 3;
+
+  /** What users do is no trouble. */
+  private static final Set<String> CALM =
+      Set.of(
+          "job", "swarm", "chain", "star", "fan", "resubmit", "cancel", "poll", "ask", "remember");
+
   private static final InetSocketAddress STATE = new InetSocketAddress("10.2.0.1", 2379);
   private static final InetSocketAddress CLOUD = new InetSocketAddress("10.2.0.2", 8443);
 
@@ -205,11 +212,26 @@
       }
     }
     world.runUntil(end);
-    rules.end();
+    rules.end(calmSince());
     failures.addAll(rules.broken());
     expectations.forEach(this::check);
   }
 
+  /** When the last trouble was over, by the times that its line names. */
+  private double calmSince() {
+    double calm = 0;
+    for (String[] words : actions) {
+      if (words[0].equals("at") && !CALM.contains(words[2])) {
+        double length = 0;
+        for (int i = 3; i < words.length; i++) {
+          length += words[i].matches("[0-9.]+") ? Double.parseDouble(words[i]) : 0;
+        }
+        calm = Math.max(calm, Double.parseDouble(words[1]) + length);
+      }
+    }
+    return calm;
+  }
+
   private PlatformSettings settings(int index) {
     List<PlatformSettings.Member> members = new ArrayList<>();
     for (int i = 0; i < nodeCount; i++) {
