--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -460,11 +460,8 @@
       case "refuse" -> state.refuse(hostOf(words[2]), Double.parseDouble(words[3]));
       case "mute" -> state.mute(hostOf(words[2]), Double.parseDouble(words[3]));
       case "compact" -> state.compact();
-      case "fall" -> {
-        PlatformSettings.State next = limits.next().get();
-        state.limits(
-            next.valueBytes(), next.txnOps(), next.requestsPerSecond(), next.writesPerSecond());
-      }
+      case "fall" -> fall(limits.next().get());
+      case "limits" -> fall(limits(fields(words, 2), java.util.Optional.empty()));
       case "late" -> state.late(Double.parseDouble(words[2]), Double.parseDouble(words[3]));
       case "rewrite" -> state.rewrite(words[2], words[3], words[4]);
       case "flood" -> state.flood(words[2], Integer.parseInt(words[3]), Integer.parseInt(words[4]));
@@ -472,6 +469,11 @@
     }
   }
 
+  private void fall(PlatformSettings.State next) {
+    state.limits(
+        next.valueBytes(), next.txnOps(), next.requestsPerSecond(), next.writesPerSecond());
+  }
+
   private void actOnCloud(String[] words) {
     switch (words[1]) {
       case "outage" -> cloud.outage(Double.parseDouble(words[2]));
