--- /dev/null
+++ b/src/test/java/org/mulleinshift/bookkeeping/StoredByEarlierBuildTest.java
@@ -0,0 +1,72 @@
+package org.mulleinshift.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.protocol.Json;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.mulleinshift.protocol.ZoneId;
+
+/**
+ * What the build of commit e61c2b1 had stored 27 s into a day: jobs half done, one just over, one
+ * cancelled, machines at blocks. This build reads all of it, and writes it as it was.
+ */
+class StoredByEarlierBuildTest {
+  private static final Path SAMPLE = Path.of("src/test/resources/stored/e61c2b1.json");
+
+  @Test
+  void allOfItIsReadAndWrittenTheSame() throws IOException, BadMessage {
+    JsonNode sample = Json.parseObject(Files.readString(SAMPLE));
+    Map<JobId, Job> jobs = new HashMap<>();
+    ControlView view = new ControlView();
+    for (Iterator<Map.Entry<String, JsonNode>> it = sample.fields(); it.hasNext(); ) {
+      Map.Entry<String, JsonNode> entry = it.next();
+      Item item = new Item(entry.getKey(), entry.getValue(), new Revision(9));
+      String kind = entry.getKey().substring(0, 2);
+      switch (kind) {
+        case Keys.ACTIVE -> {
+          JobRecord record = JobRecord.read(item).get();
+          JsonNode written =
+              JobRecord.value(
+                  record.spec(), record.awaits(), record.acceptedMillis(), record.cancelled());
+          assertEquals(Json.write(item.value()), Json.write(written));
+          jobs.put(record.id(), new Job(record));
+        }
+        case Keys.CONTROL -> view.apply(item.key(), Optional.of(item));
+        case Keys.PROGRESS -> {
+          Keys.ProgressKey key = Keys.progressKey(item.key()).get();
+          Job job = jobs.get(key.job());
+          job.load(key.part(), item.value(), block -> new ZoneId("a"));
+          assertEquals(Json.write(item.value()), Json.write(job.progress(key.part())));
+        }
+        case Keys.ENDED -> {
+          assertEquals(
+              item.key().endsWith("run-4") ? JobPhase.CANCELLED : JobPhase.DONE,
+              JobRecord.endedPhase(item).get());
+          assertEquals(OptionalLong.empty(), JobRecord.endedMillis(item));
+        }
+        default -> throw new AssertionError(item.key());
+      }
+    }
+    assertEquals(3, jobs.size());
+    assertTrue(jobs.values().stream().allMatch(job -> job.state() == Job.State.ACTIVE));
+    assertEquals(16, view.grants().size());
+    assertEquals(16, view.blocks().size());
+    assertTrue(view.unreadableBlocks().isEmpty() && view.unreadableGrants().isEmpty());
+    assertTrue(view.builds().isEmpty());
+  }
+}
