--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/LargestJobs.java
@@ -0,0 +1,72 @@
+package org.mulleinshift.coordination;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.transport.SteadyTime;
+
+/**
+ * The largest jobs of each class that have waited too long without any task. The order by work left
+ * would put them off for as long as smaller ones come; a few at a time may begin before that order.
+ * All of it follows from what is stored, so a new leader finds the same.
+ */
+final class LargestJobs {
+  private static final int ONE_OF = 10;
+  private static final int MOST = 16;
+  private static final double LOOK_SECONDS = 1;
+
+  private static final Comparator<Job> LARGEST_FIRST =
+      Comparator.comparingInt((Job job) -> -job.spec().tasks())
+          .thenComparingLong(Job::readyMillis)
+          .thenComparing(job -> job.spec().id());
+
+  private final long patienceMillis;
+  private List<Job> found = List.of();
+  private SteadyTime lookedAt;
+
+  LargestJobs(double patienceSeconds, SteadyTime now) {
+    this.patienceMillis = (long) (1000 * patienceSeconds);
+    this.lookedAt = now.minus(java.time.Duration.ofSeconds(1));
+  }
+
+  /** Those that are to begin now, the one that waited longest first. */
+  List<Job> toBegin(Collection<Job> jobs, SteadyTime now, long wallMillis) {
+    if (now.secondsSince(lookedAt) >= LOOK_SECONDS) {
+      lookedAt = now;
+      found = look(jobs, wallMillis - patienceMillis);
+    }
+    return found.stream().filter(LargestJobs::notBegun).toList();
+  }
+
+  private static List<Job> look(Collection<Job> jobs, long readyBefore) {
+    if (jobs.stream().noneMatch(job -> notBegun(job) && job.readyMillis() < readyBefore)) {
+      return List.of();
+    }
+    Map<String, List<Job>> classes = new HashMap<>();
+    for (Job job : jobs) {
+      if (job.state() == Job.State.ACTIVE) {
+        classes.computeIfAbsent(job.spec().jobClass(), key -> new ArrayList<>()).add(job);
+      }
+    }
+    List<Job> late = new ArrayList<>();
+    for (List<Job> ofClass : classes.values()) {
+      ofClass.sort(LARGEST_FIRST);
+      int count = Math.max(1, Math.min(MOST, ofClass.size() / ONE_OF));
+      for (Job job : ofClass.subList(0, count)) {
+        if (notBegun(job) && job.readyMillis() < readyBefore) {
+          late.add(job);
+        }
+      }
+    }
+    late.sort(Comparator.comparingLong(Job::readyMillis));
+    return late;
+  }
+
+  private static boolean notBegun(Job job) {
+    return job.state() == Job.State.ACTIVE && !job.hasBegun() && job.delegatedCount() == 0;
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/SchedulingCycle.java
+++ b/src/main/java/org/mulleinshift/coordination/SchedulingCycle.java
@@ -38,7 +38,7 @@
   private final Preemption preemption;
   private final Optional<Double> guaranteeWithin;
   private final double aheadSeconds;
-  private final long beginMillis;
+  private final LargestJobs largest;
   private final Floors floors;
   private final Lateness lateness;
   private Optional<Ranking> ranking = Optional.empty();
@@ -59,7 +59,7 @@
     // Room that frees first refills what is kept for classes with a start aim; tasks that wait at
     // holders would take it before.
     this.aheadSeconds = headroom.protectsAny() ? 0 : around.tunables().number(Tunables.Key.AHEAD_S);
-    this.beginMillis = (long) (1000 * around.tunables().number(Tunables.Key.BEGIN_S));
+    this.largest = new LargestJobs(around.tunables().number(Tunables.Key.BEGIN_S), loop.now());
     this.floors = new Floors(leader, around.catalog(), around.tunables(), loop.now());
     this.lateness =
         new Lateness(
@@ -81,7 +81,7 @@
     Map<TeamId, Resources> inUse = leader.use();
     Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + 1);
     hopeless = new Hopeless();
-    beginOverdue(order, rooms, inUse, attempt);
+    beginLargest(rooms, inUse, attempt);
     claim(order, job -> job.state() == Job.State.ACTIVE, rooms, inUse, attempt);
     for (Job job : order) {
       if (job.state() == Job.State.ACTIVE && headroom.protects(job.spec())) {
@@ -113,23 +113,11 @@
     return least;
   }
 
-  /**
-   * Whatever the order says, a job that waited long begins: least work first would put a large one
-   * off for as long as smaller ones come. Those that waited longest first, a part of each; none is
-   * forgotten by this, since all of it follows from what is stored.
-   */
-  private void beginOverdue(
-      List<Job> order, List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
-    long since = loop.wallMillis() - beginMillis;
-    order.stream()
-        .filter(job -> job.readyMillis() < since && job.state() == Job.State.ACTIVE)
-        .filter(job -> !job.hasBegun() && job.delegatedCount() == 0)
-        .sorted(Comparator.comparingLong(Job::readyMillis))
-        .forEach(
-            job -> {
-              int part = (job.spec().tasks() + FIRST_PART - 1) / FIRST_PART;
-              delegate(job, rooms, inUse, attempt, part);
-            });
+  /** A part of each of the largest jobs that waited too long, whatever the order says. */
+  private void beginLargest(List<Room> rooms, Map<TeamId, Resources> inUse, Attempt attempt) {
+    for (Job job : largest.toBegin(leader.jobs().values(), loop.now(), loop.wallMillis())) {
+      delegate(job, rooms, inUse, attempt, (job.spec().tasks() + FIRST_PART - 1) / FIRST_PART);
+    }
   }
 
   /** Room for classes or teams that are below their floor, before the usual order. */
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -88,7 +88,11 @@
     OVERDUE_S(
         "overdue_s", 600, 0, 86_400, "a job this long past its deadline waits behind no others"),
     BEGIN_S(
-        "begin_s", 120, 1, 86_400, "a job that waited this long starts some tasks before others"),
+        "begin_s",
+        120,
+        1,
+        86_400,
+        "one of the largest jobs of a class that waited this long starts some tasks before others"),
     SPARE_S(
         "spare_s", 6, 0, 3600, "how long the fleet could do without a machine before it drains"),
     HTTP_THREADS("http_threads", 16, 2, 256, "threads that read requests and write answers");
