A late copy of a report is no knock, no sign of life

A report that reaches another controller while its holder doesn't answer counted as a machine that its holder can't hear. With three dead machines and copies that come late the blocks went round: each new holder was judged cut off from its workers before it could count the dead ones as gone.

Another controller asks the machine for its status first, and only one that answers has knocked; the leader counts knocks only of machines that their holder does not say it hears. A report older than one heard more than 4.5 s ago (a worker takes no answer after 4 s) neither shows life nor counts as answered.

--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -114,7 +114,8 @@
     recordSeen = record.version();
     for (Map.Entry<MachineId, MachineRecord> entry : record.machines().entrySet()) {
       machines
-          .computeIfAbsent(entry.getKey(), key -> new HeldMachine(key, entry.getValue(), grant))
+          .computeIfAbsent(
+              entry.getKey(), key -> new HeldMachine(key, entry.getValue(), grant, loop.now()))
           .update(entry.getValue());
       news(entry.getKey());
     }
@@ -304,6 +305,9 @@
     if (machine == null) {
       return Optional.empty();
     }
+    if (machine.surelyCopy(report, loop.now())) {
+      return Optional.empty();
+    }
     // A report that may not be answered still shows that its worker is there and reaches this node.
     machine.reached(loop.now());
     if (!entitled.getAsBoolean()) {
@@ -330,7 +334,7 @@
       return;
     }
     if (machine.repeats(report)) {
-      machine.heard(report);
+      machine.heard(report, loop.now());
       return;
     }
     boolean newSession = report.moment().session() > machine.moment().session();
@@ -342,7 +346,7 @@
     Set<TaskId> listed = new HashSet<>();
     List<WorkerReport.Entry> strays = new ArrayList<>();
     boolean recalled = machine.recalled();
-    machine.heard(report);
+    machine.heard(report, loop.now());
     if (recalled != machine.recalled()) {
       news(machine.id());
     }
@@ -661,12 +665,16 @@
   }
 
   private static Optional<InetSocketAddress> addressOf(HeldMachine machine) {
-    int colon = machine.address().lastIndexOf(':');
+    return addressOf(machine.address());
+  }
+
+  /** Where a worker takes direct orders and questions, by its reports. */
+  static Optional<InetSocketAddress> addressOf(String text) {
+    int colon = text.lastIndexOf(':');
     try {
       return Optional.of(
           new InetSocketAddress(
-              machine.address().substring(0, Math.max(0, colon)),
-              Integer.parseInt(machine.address().substring(colon + 1))));
+              text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1))));
     } catch (IllegalArgumentException e) {
       return Optional.empty();
     }
--- a/src/main/java/org/mulleinshift/coordination/HeldMachine.java
+++ b/src/main/java/org/mulleinshift/coordination/HeldMachine.java
@@ -25,11 +25,15 @@
   /** Low bits of a token, for raising it on one machine without a new grant. */
   static final int BUMP_BITS = 20;
 
+  /** A worker takes no answer later than 4 s after its report; and more for drift. */
+  private static final Duration ANSWERS_AWAITED = Duration.ofMillis(4500);
+
   private final MachineId id;
   private MachineRecord record;
   private MachinePhase phase = MachinePhase.UNSEEN;
   private FencingToken token;
   private WorkerMoment moment = WorkerMoment.NEVER;
+  private SteadyTime momentAt;
   private String address = "";
   private Optional<SteadyTime> answeredAt = Optional.empty();
   private Optional<SteadyTime> reachedAt = Optional.empty();
@@ -58,7 +62,8 @@
     GONE
   }
 
-  HeldMachine(MachineId id, MachineRecord record, Revision grant) {
+  HeldMachine(MachineId id, MachineRecord record, Revision grant, SteadyTime now) {
+    this.momentAt = now;
     this.id = id;
     this.record = record;
     this.token = firstToken(grant);
@@ -99,8 +104,18 @@
     }
   }
 
-  void heard(WorkerReport report) {
+  /**
+   * Whether this is surely a copy that came late: what was sent after it was heard so long ago that
+   * its worker waits for no answer to it any more. Such a one shows no sign of life, and an answer
+   * to it renews nothing.
+   */
+  boolean surelyCopy(WorkerReport report, SteadyTime now) {
+    return !report.moment().isAfter(moment) && now.since(momentAt).compareTo(ANSWERS_AWAITED) > 0;
+  }
+
+  void heard(WorkerReport report, SteadyTime now) {
     moment = report.moment();
+    momentAt = now;
     address = report.address();
     recall = report.recall();
     if (report.highestToken().compareTo(token) >= 0) {
--- a/src/main/java/org/mulleinshift/coordination/HolderDesk.java
+++ b/src/main/java/org/mulleinshift/coordination/HolderDesk.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +31,7 @@
 import org.mulleinshift.protocol.peer.ReportsSeen;
 import org.mulleinshift.protocol.peer.StrangerReport;
 import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.HttpRequest;
 import org.mulleinshift.transport.Responder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -42,6 +44,8 @@
   private static final Duration REPORT_AT_LEAST = Duration.ofSeconds(1);
 
   private static final Duration KNOCKS = Duration.ofMillis(400);
+  private static final Duration ASK_DEADLINE = Duration.ofMillis(1200);
+  private static final int MOST_ASKED = 64;
 
   /** What the desk asks of the other controllers. */
   record Peers(List<NodeId> nodes, Predicate<NodeId> answersWorkers, Runnable beat) {}
@@ -54,6 +58,7 @@
   private final Peers peers;
   private final Consumer<Object> toLeader;
   private final Map<BlockId, BlockHolder> held = new HashMap<>();
+  private final Set<MachineId> asked = new HashSet<>();
   private final Map<BlockId, Set<MachineId>> knocked = new HashMap<>();
   private final WorkerLink workers;
   private boolean reportPlanned;
@@ -236,7 +241,7 @@
       if (peers.answersWorkers().test(grant.holder())) {
         next = Optional.of(grant.holder());
       } else {
-        knock(block.get(), report.machine());
+        knock(block.get(), report);
         next = detour(grant.holder());
       }
     }
@@ -260,8 +265,30 @@
         .filter(node -> !node.equals(self) && peers.answersWorkers().test(node));
   }
 
-  /** The leader hears of machines whose holder does not answer them; several share a message. */
-  private void knock(BlockId block, MachineId machine) {
+  /**
+   * A machine whose holder does not answer it. The report may be a late copy, and the machine long
+   * gone: only one that can be asked has knocked.
+   */
+  private void knock(BlockId block, WorkerReport report) {
+    Optional<InetSocketAddress> address = BlockHolder.addressOf(report.address());
+    if (address.isEmpty() || asked.size() >= MOST_ASKED || !asked.add(report.machine())) {
+      return;
+    }
+    around
+        .workers()
+        .call(
+            address.get(),
+            HttpRequest.get(WorkerCodec.STATUS, ASK_DEADLINE),
+            reply -> {
+              asked.remove(report.machine());
+              if (reply.ok()) {
+                knocked(block, report.machine());
+              }
+            });
+  }
+
+  /** The leader hears of such machines; several share a message. */
+  private void knocked(BlockId block, MachineId machine) {
     if (knocked.isEmpty()) {
       loop.after(KNOCKS, this::sendKnocks);
     }
--- a/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
+++ b/src/main/java/org/mulleinshift/coordination/LeaderBlock.java
@@ -245,10 +245,19 @@
     }
   }
 
-  /** How many machines knocked elsewhere within that time. */
+  /**
+   * How many machines knocked elsewhere within that time, of those that their holder does not say
+   * it hears: copies of reports come late, also of machines that are well.
+   */
   int knocks(Duration within, SteadyTime now) {
     knocks.values().removeIf(at -> now.since(at).compareTo(within) > 0);
-    return knocks.size();
+    return (int) knocks.keySet().stream().filter(machine -> !heard(machine)).count();
+  }
+
+  private boolean heard(MachineId machine) {
+    return reportOf(machine)
+        .filter(report -> report.getSilence().equals(HeldMachine.Silence.HEARD.name()))
+        .isPresent();
   }
 
   @Override
--- a/src/test/java/org/mulleinshift/sim/SimWorker.java
+++ b/src/test/java/org/mulleinshift/sim/SimWorker.java
@@ -293,6 +293,10 @@
     if (world.seconds() < deafUntil) {
       return;
     }
+    if (request.path().equals("/status")) {
+      awake(() -> reply.accept(new HttpReply(200, body())));
+      return;
+    }
     awake(
         () -> {
           JsonNode body = parse(request.body().orElse(""));
