--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -72,6 +72,8 @@
   private final Map<Integer, SteadyTime> pausedUntil = new HashMap<>();
   private final Map<ZoneId, Integer> perZone = new HashMap<>();
   private OptionalLong begunMillis = OptionalLong.empty();
+  private OptionalLong releasedMillis = OptionalLong.empty();
+  private OptionalLong toldMillis = OptionalLong.empty();
   private int failures;
   private double runSecondsTotal;
   private int runCount;
@@ -122,8 +124,13 @@
     }
   }
 
-  /** All that it awaits is stored as done, the last of it at that time of day. */
-  public void release(long atMillis) {
+  /** All that it awaits is stored as done, the last of it at that time of day; known now. */
+  public void release(long atMillis, long nowMillis) {
+    release(atMillis);
+    releasedMillis = OptionalLong.of(nowMillis);
+  }
+
+  private void release(long atMillis) {
     readyMillis = OptionalLong.of(Math.max(acceptedMillis, atMillis));
     if (state == State.HELD) {
       moveTo(State.ACTIVE);
@@ -291,6 +298,25 @@
     }
   }
 
+  /** A first task of it was stored as delegated, and its holder hears of it. */
+  public void told(long atMillis) {
+    if (toldMillis.isEmpty()) {
+      toldMillis = OptionalLong.of(atMillis);
+    }
+  }
+
+  /** How long each step took from the last end that it awaited, if this leader saw all of them. */
+  private String handOn() {
+    if (releasedMillis.isEmpty() || toldMillis.isEmpty() || begunMillis.isEmpty()) {
+      return "";
+    }
+    return String.format(
+        ", hand-on: end known %d ms, told %d ms, runs %d ms",
+        releasedMillis.getAsLong() - readyMillis(),
+        toldMillis.getAsLong() - releasedMillis.getAsLong(),
+        begunMillis.getAsLong() - toldMillis.getAsLong());
+  }
+
   /** Whether any of its tasks ran, as far as this leader or the store knows. */
   public boolean hasBegun() {
     return begunMillis.isPresent() || !done.isEmpty();
@@ -303,14 +329,15 @@
             ? Math.max(0, (begunMillis.getAsLong() - readyMillis()) / 1000) + " s"
             : "an unknown time";
     return String.format(
-        "%d tasks of %s, begun after %s, over after %d s, due %s",
+        "%d tasks of %s, begun after %s, over after %d s, due %s%s",
         spec.tasks(),
         spec.jobClass(),
         begun,
         (nowMillis - acceptedMillis) / 1000,
         spec.deadlineSeconds().isPresent()
             ? Math.round(spec.deadlineSeconds().getAsDouble()) + " s"
-            : "at no time");
+            : "at no time",
+        handOn());
   }
 
   public void countFailure() {
--- a/src/main/java/org/mulleinshift/coordination/ChainKeeper.java
+++ b/src/main/java/org/mulleinshift/coordination/ChainKeeper.java
@@ -24,7 +24,7 @@
 
   private final Leader leader;
   private final Leader.Surroundings around;
-  private final Chains chains = new Chains(this);
+  private final Chains chains;
   private final NeedReader reader;
   private final Map<JobId, Chains.Standing> ends =
       new LinkedHashMap<>() {
@@ -40,6 +40,7 @@
   ChainKeeper(Leader leader, Leader.Surroundings around) {
     this.leader = leader;
     this.around = around;
+    this.chains = new Chains(this, around.loop()::wallMillis);
     this.inheritedAt = around.loop().now();
     this.reader = new NeedReader(around.loop(), around.store(), leader::serving, this::learned);
   }
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -67,7 +67,7 @@
   private static final Duration KNOCKED = Duration.ofSeconds(5);
 
   /** What ends a job is stored as one. */
-  private static final int LEAST_BATCH = 3;
+  private static final int LEAST_BATCH = 2;
 
   /** States of a term. */
   enum State {
--- a/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
+++ b/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
@@ -199,6 +199,9 @@
     public void committed(Revision revision) {
       job.parts().stored(parts);
       job.stored(written, ended, revision);
+      if (!written.isEmpty()) {
+        job.told(around.loop().wallMillis());
+      }
       // Ends first: a task that comes back to the same block is told as a new one.
       ended.forEach(leader::untell);
       written.forEach(leader::tell);
--- a/src/main/java/org/mulleinshift/coordination/chains/AcceptedCheck.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/AcceptedCheck.java
@@ -1,8 +1,12 @@
 package org.mulleinshift.coordination.chains;
 
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.mulleinshift.bookkeeping.Keys;
@@ -18,6 +22,7 @@
  */
 public final class AcceptedCheck {
   private static final int AT_ONCE = 8;
+  private static final int REMEMBERED = 10_000;
 
   /** What came of a check. */
   public enum Verdict {
@@ -30,6 +35,18 @@
   private final StateStore store;
   private final Predicate<JobId> seen;
 
+  /** A long list is looked up at the rate that there is: a retry goes on where the last one was. */
+  private final Set<JobId> found =
+      Collections.newSetFromMap(
+          new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<JobId, Boolean> eldest) {
+              return size() > REMEMBERED;
+            }
+          });
+
   /**
    * A check.
    *
@@ -42,7 +59,7 @@
 
   public void check(List<JobId> jobs, Consumer<Verdict> then) {
     Deque<JobId> open = new ArrayDeque<>();
-    jobs.stream().filter(job -> !seen.test(job)).forEach(open::add);
+    jobs.stream().filter(job -> !seen.test(job) && !found.contains(job)).forEach(open::add);
     Round round = new Round(open, then);
     if (open.isEmpty()) {
       then.accept(Verdict.ALL);
@@ -66,17 +83,18 @@
     private void ask() {
       asked++;
       JobId job = open.poll();
-      read(Keys.active(job), () -> read(Keys.ended(job), () -> end(Verdict.NEVER)));
+      read(job, Keys.active(job), () -> read(job, Keys.ended(job), () -> end(Verdict.NEVER)));
     }
 
     /** Whatever stands there: it was accepted. */
-    private void read(String key, Runnable absent) {
+    private void read(JobId job, String key, Runnable absent) {
       store.get(
           key,
           StateStore.Urgency.PROMPT,
           answer -> {
             if (answer instanceof Answer.Found<Item>) {
-              found();
+              found.add(job);
+              goOn();
             } else if (answer instanceof Answer.Absent<Item>) {
               absent.run();
             } else {
@@ -85,7 +103,7 @@
           });
     }
 
-    private void found() {
+    private void goOn() {
       asked--;
       if (over) {
         return;
--- a/src/main/java/org/mulleinshift/coordination/chains/Chains.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/Chains.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import java.util.function.ToDoubleFunction;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.protocol.JobId;
@@ -61,10 +62,12 @@
   private final Map<JobId, Long> lastEnds = new HashMap<>();
   private final Map<JobId, Job> heirs = new HashMap<>();
   private final Listener listener;
+  private final LongSupplier wallMillis;
   private boolean changed;
 
-  public Chains(Listener listener) {
+  public Chains(Listener listener, LongSupplier wallMillis) {
     this.listener = listener;
+    this.wallMillis = wallMillis;
   }
 
   /** A job that waits; what it awaits is not looked at before {@link #await}. */
@@ -124,7 +127,7 @@
       long last = lastEnds.getOrDefault(id, atMillis);
       leave(id);
       if (job != null) {
-        job.release(last);
+        job.release(last, wallMillis.getAsLong());
         listener.released(job);
       }
     }
--- a/src/main/java/org/mulleinshift/settings/PlatformSettingsReader.java
+++ b/src/main/java/org/mulleinshift/settings/PlatformSettingsReader.java
@@ -132,8 +132,8 @@
     return new PlatformSettings.State(
         number(holding(node, rest, "rps"), at, "rps", 1, 1e9),
         number(holding(node, rest, "write_rps"), at, "write_rps", 1, 1e9),
-        (int) (number(holding(node, rest, "value_kb"), at, "value_kb", 1, 1e6) * 1024),
-        (int) number(holding(node, rest, "txn_ops"), at, "txn_ops", 4, 1e6));
+        (int) (number(holding(node, rest, "value_kb"), at, "value_kb", 0.5, 1e6) * 1024),
+        (int) number(holding(node, rest, "txn_ops"), at, "txn_ops", 2, 1e6));
   }
 
   private static JsonNode holding(JsonNode node, JsonNode rest, String key) {
--- a/src/test/java/org/mulleinshift/CommandLineTest.java
+++ b/src/test/java/org/mulleinshift/CommandLineTest.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.settings.PlatformSettingsReader;
+import org.mulleinshift.settings.SettingsException;
 import picocli.CommandLine;
 
 /** What an operator meets at the command line: each fault is one line naming file and key. */
@@ -57,6 +60,9 @@
     "'label = \"rehearsal\"','label = 7',label",
     "'[cluster.state]','[cluster.other]',cluster.state",
     "'[services]','[services',not valid TOML",
+    "'txn_ops = 12','txn_ops = 12\nnext = 3',cluster.state.next",
+    "'txn_ops = 12','txn_ops = 12\nnext = { txn_ops = 1 }',cluster.state.next.txn_ops",
+    "'txn_ops = 12','txn_ops = 12\nnext = { value_kb = \"few\" }',cluster.state.next.value_kb",
   })
   void namesTheFaultOfThePlatformsFile(String good, String bad, String named) throws IOException {
     Path file = write("bad.toml", Files.readString(GOOD).replace(good, bad));
@@ -84,6 +90,25 @@
     assertEquals(1, result.errors().lines().count(), result.errors());
   }
 
+  /** What the coming limits leave out stays; what is written fits both. */
+  @Test
+  void readsTheLimitsThatCome() throws IOException, SettingsException {
+    String text = Files.readString(GOOD);
+    Path file =
+        write(
+            "next.toml",
+            text.replace(
+                "txn_ops = 12", "txn_ops = 12\nnext = { value_kb = 2.0, write_rps = 25.0 }"));
+    PlatformSettings.State state = PlatformSettingsReader.read(file).cluster().state();
+    assertEquals(2048, state.leastValueBytes());
+    assertEquals(12, state.leastTxnOps());
+    assertEquals(0.25, state.writesLeft());
+    assertEquals(1, state.requestsLeft());
+    PlatformSettings.State plain = PlatformSettingsReader.read(GOOD).cluster().state();
+    assertEquals(8192, plain.leastValueBytes());
+    assertEquals(1, plain.writesLeft());
+  }
+
   @Test
   void missingFileEndsWithTwo() {
     Result result = run("--check", "--config", folder.resolve("none.toml").toString());
