--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -72,6 +72,7 @@
   private final Map<Integer, SteadyTime> pausedUntil = new HashMap<>();
   private final Map<ZoneId, Integer> perZone = new HashMap<>();
   private OptionalLong begunMillis = OptionalLong.empty();
+  private boolean takenOver;
   private OptionalLong releasedMillis = OptionalLong.empty();
   private OptionalLong toldMillis = OptionalLong.empty();
   private int failures;
@@ -179,6 +180,7 @@
     if (!awaits.none()) {
       release(value.path(READY).asLong(acceptedMillis));
     }
+    takenOver |= !ended.isEmpty() || !found.isEmpty();
     parts.found(part);
     clear(base, base + most);
     ended.stream().forEach(index -> markDone(base + index));
@@ -293,7 +295,7 @@
 
   /** A task of it runs. */
   public void begun(long atMillis) {
-    if (begunMillis.isEmpty()) {
+    if (begunMillis.isEmpty() && !takenOver) {
       begunMillis = OptionalLong.of(atMillis);
     }
   }
@@ -317,9 +319,9 @@
         begunMillis.getAsLong() - toldMillis.getAsLong());
   }
 
-  /** Whether any of its tasks ran, as far as this leader or the store knows. */
+  /** Whether any of its tasks ran or was sent out, as far as this leader or the store knows. */
   public boolean hasBegun() {
-    return begunMillis.isPresent() || !done.isEmpty();
+    return begunMillis.isPresent() || takenOver;
   }
 
   /** How it fared, for operators. */
