A late copy of a report is no unexpected machine

Whoever receives a report of a machine that nobody knows asks it for its status before telling the leader, as for one that knocks.

--- a/src/main/java/org/mulleinshift/coordination/HolderDesk.java
+++ b/src/main/java/org/mulleinshift/coordination/HolderDesk.java
@@ -215,13 +215,16 @@
     workers.reported();
     Optional<BlockId> block = view.blockOf(report.machine());
     if (block.isEmpty()) {
-      toLeader.accept(
-          new StrangerReport(
-              report.machine().value(),
-              report.address(),
-              report.type().value(),
-              report.zone().value(),
-              report.spot()));
+      ask(
+          report,
+          () ->
+              toLeader.accept(
+                  new StrangerReport(
+                      report.machine().value(),
+                      report.address(),
+                      report.type().value(),
+                      report.zone().value(),
+                      report.spot())));
       responder.respond(421, "{}");
       return;
     }
@@ -241,7 +244,7 @@
       if (peers.answersWorkers().test(grant.holder())) {
         next = Optional.of(grant.holder());
       } else {
-        knock(block.get(), report);
+        ask(report, () -> knocked(block.get(), report.machine()));
         next = detour(grant.holder());
       }
     }
@@ -266,10 +269,10 @@
   }
 
   /**
-   * A machine whose holder does not answer it. The report may be a late copy, and the machine long
-   * gone: only one that can be asked has knocked.
+   * The report of a machine that nobody knows, or that its holder does not answer, may be a late
+   * copy, and the machine long gone: only one that can be asked is there.
    */
-  private void knock(BlockId block, WorkerReport report) {
+  private void ask(WorkerReport report, Runnable ifThere) {
     Optional<InetSocketAddress> address = BlockHolder.addressOf(report.address());
     if (address.isEmpty() || asked.size() >= MOST_ASKED || !asked.add(report.machine())) {
       return;
@@ -282,12 +285,12 @@
             reply -> {
               asked.remove(report.machine());
               if (reply.ok()) {
-                knocked(block, report.machine());
+                ifThere.run();
               }
             });
   }
 
-  /** The leader hears of such machines; several share a message. */
+  /** The leader hears of machines whose holder does not answer them; several share a message. */
   private void knocked(BlockId block, MachineId machine) {
     if (knocked.isEmpty()) {
       loop.after(KNOCKS, this::sendKnocks);
