--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -503,6 +503,7 @@
         case "hang" -> machine.worker.hang(Double.parseDouble(words[3]));
         case "kill" -> cloud.remove(machine);
         case "sick" -> machine.worker.sick();
+        case "reboot" -> machine.worker.reboot();
         case "deaf" -> machine.worker.deaf(Double.parseDouble(words[3]), words.length > 4);
         case "slow" -> machine.worker.slow(Double.parseDouble(words[3]));
         case "recall" -> {
--- a/src/test/java/org/mulleinshift/sim/SimWorker.java
+++ b/src/test/java/org/mulleinshift/sim/SimWorker.java
@@ -112,6 +112,20 @@
     dropsAnswers = stays;
   }
 
+  /** Back at once under the same name, and knows nothing of what was before. */
+  void reboot() {
+    pieces.values().forEach(piece -> rules.left(piece.task, machine.name));
+    pieces.clear();
+    images.clear();
+    session = 1;
+    tick = 0;
+    token = 0;
+    leaseFrom = world.seconds();
+    reportNumber++;
+    inFlight = false;
+    change();
+  }
+
   void sick() {
     sick = true;
   }
