Read-through: one bounded memory, one reading of job ids, one form of a job's end

JobCodec.jobIds reads both what users name in awaits and what records hold. Chains.End takes the place of a standing with two cases that nobody acted on, and is made in one place each for the store and the leader. RunTimes.left is what a running task should still take, for the walk and for jobs that will be let go. The bytes of a value are those of its UTF-8 text. Two questions that nobody asked are gone. The two drawn tests share their assertion.

--- a/src/main/java/org/mulleinshift/bookkeeping/Awaits.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Awaits.java
@@ -47,7 +47,7 @@
       return new Awaits(
           List.of(), (int) Json.count(chain, LISTS, 1, MOST_LISTS), Json.text(chain, DIGEST));
     }
-    List<JobId> named = names(chain.path(NAMED));
+    List<JobId> named = JobCodec.jobIds(chain.path(NAMED));
     if (named.isEmpty()) {
       throw new BadMessage("a chain without jobs");
     }
@@ -60,7 +60,7 @@
   }
 
   public static List<JobId> readList(JsonNode value) throws BadMessage {
-    return names(value.path(NAMED));
+    return JobCodec.jobIds(value.path(NAMED));
   }
 
   private static ArrayNode array(List<JobId> jobs) {
@@ -69,20 +69,6 @@
     return array;
   }
 
-  private static List<JobId> names(JsonNode array) throws BadMessage {
-    if (!array.isArray()) {
-      throw new BadMessage("not a list of jobs");
-    }
-    List<JobId> jobs = new ArrayList<>();
-    for (JsonNode name : array) {
-      if (!name.isTextual() || !JobCodec.isJobId(name.asText())) {
-        throw new BadMessage("not the name of a job");
-      }
-      jobs.add(new JobId(name.asText()));
-    }
-    return List.copyOf(jobs);
-  }
-
   /** Cuts a long list into such as fit into values of that size. */
   public static List<List<JobId>> cut(List<JobId> jobs, int valueBytes) {
     List<List<JobId>> lists = new ArrayList<>();
--- a/src/main/java/org/mulleinshift/coordination/ChainKeeper.java
+++ b/src/main/java/org/mulleinshift/coordination/ChainKeeper.java
@@ -1,15 +1,15 @@
 package org.mulleinshift.coordination;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.bookkeeping.JobRecord;
 import org.mulleinshift.coordination.chains.Chains;
 import org.mulleinshift.coordination.chains.NeedReader;
+import org.mulleinshift.margin.Recent;
 import org.mulleinshift.protocol.JobId;
-import org.mulleinshift.protocol.JobPhase;
 import org.mulleinshift.transport.SteadyTime;
 
 /**
@@ -26,15 +26,7 @@
   private final Leader.Surroundings around;
   private final Chains chains;
   private final NeedReader reader;
-  private final Map<JobId, Chains.Standing> ends =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobId, Chains.Standing> eldest) {
-          return size() > REMEMBERED_ENDS;
-        }
-      };
+  private final Map<JobId, Chains.End> ends = new Recent<>(REMEMBERED_ENDS);
   private SteadyTime inheritedAt;
 
   ChainKeeper(Leader leader, Leader.Surroundings around) {
@@ -42,7 +34,7 @@
     this.around = around;
     this.chains = new Chains(this, around.loop()::wallMillis);
     this.inheritedAt = around.loop().now();
-    this.reader = new NeedReader(around.loop(), around.store(), leader::serving, this::learned);
+    this.reader = new NeedReader(around.loop(), around.store(), leader::serving, chains::ended);
   }
 
   Optional<Job> held(JobId job) {
@@ -96,21 +88,17 @@
 
   /** What is active is known to this leader, all else is over or will be shown by the watch. */
   private void look(JobId need) {
-    Chains.Standing end = ends.get(need);
+    Chains.End end = ends.get(need);
     Optional<Job> open = leader.known(need);
     if (end != null) {
-      chains.learn(need, end);
+      chains.ended(need, end);
     } else if (open.isEmpty()) {
       reader.end(need);
     } else if (open.get().cancelled()) {
-      chains.learn(need, new Chains.Standing.Cancelled());
+      chains.cancelled(need);
     }
   }
 
-  private void learned(JobId need, Chains.Standing standing) {
-    chains.learn(need, standing);
-  }
-
   /** The stored record of a held job changed. */
   void update(Job job, JobRecord record) {
     job.update(record);
@@ -122,17 +110,13 @@
 
   /** A cancellation is stored. */
   void cancelledWith(JobId job) {
-    chains.learn(job, new Chains.Standing.Cancelled());
+    chains.cancelled(job);
   }
 
   void ended(Job job, long atMillis) {
-    JobId id = job.spec().id();
-    ends.put(
-        id,
-        job.endPhase() == JobPhase.DONE
-            ? new Chains.Standing.Done(atMillis)
-            : new Chains.Standing.Cancelled());
-    chains.ended(id, job.endPhase(), atMillis);
+    Chains.End end = new Chains.End(job.endPhase(), atMillis);
+    ends.put(job.spec().id(), end);
+    chains.ended(job.spec().id(), end);
   }
 
   void drop(JobId job) {
@@ -176,9 +160,9 @@
     double expected = around.runTimes().expectedSeconds(job);
     double left = job.waitingCount() > 0 ? expected : 0;
     SteadyTime now = around.loop().now();
-    for (var delegation : job.delegations()) {
+    for (Delegation delegation : job.delegations()) {
       double ran = delegation.runningSince().map(now::secondsSince).orElse(0.0);
-      left = Math.max(left, ran > expected ? expected / 2 : expected - ran);
+      left = Math.max(left, RunTimes.left(expected, ran));
     }
     return left;
   }
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -16,6 +16,7 @@
 import org.mulleinshift.bookkeeping.LeaderJournal;
 import org.mulleinshift.bookkeeping.Machine;
 import org.mulleinshift.bookkeeping.Rental;
+import org.mulleinshift.margin.Recent;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.CloudCodec;
 import org.mulleinshift.protocol.CloudMachine;
@@ -63,7 +64,7 @@
   private final Map<MachineTypeId, Integer> doubtful = new HashMap<>();
   private final Map<MachineTypeId, SteadyTime> probedAt = new HashMap<>();
   private final Set<MachineId> deleting = new LinkedHashSet<>();
-  private final Set<MachineId> deleted = new LinkedHashSet<>();
+  private final Set<MachineId> deleted = Recent.set(REMEMBERED_DELETED);
   private Optional<SteadyTime> lastResize = Optional.empty();
   private boolean deleteInFlight;
 
@@ -234,9 +235,6 @@
   private void gone(List<MachineId> machines) {
     machines.forEach(deleting::remove);
     deleted.addAll(machines);
-    while (deleted.size() > REMEMBERED_DELETED) {
-      deleted.remove(deleted.iterator().next());
-    }
     machines.forEach(tracked::remove);
     leader.blame().gone(machines);
     for (LeaderBlock block : leader.blocks().values()) {
--- a/src/main/java/org/mulleinshift/coordination/FleetPlan.java
+++ b/src/main/java/org/mulleinshift/coordination/FleetPlan.java
@@ -189,8 +189,7 @@
         room.take(need);
         double ran =
             delegation.runningSince().map(since -> loop.now().secondsSince(since)).orElse(0.0);
-        // A task past its expected end frees nothing that can be counted on.
-        double left = ran > expected ? expected * 0.5 : expected - ran;
+        double left = RunTimes.left(expected, ran);
         if (left <= horizon) {
           releases.add(new Walk.Release(left, room, need.perTask()));
         }
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -19,6 +19,7 @@
 import org.mulleinshift.coordination.chains.AcceptedCheck;
 import org.mulleinshift.coordination.chains.ListWriter;
 import org.mulleinshift.margin.Pressure;
+import org.mulleinshift.margin.Recent;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.JobCodec;
 import org.mulleinshift.protocol.JobId;
@@ -72,15 +73,7 @@
   private final ListWriter lists;
   private final int retryAfter;
   private final Consumer<JobId> onCancelled;
-  private final Map<JobId, JobPhase> ended =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<JobId, JobPhase> eldest) {
-          return size() > REMEMBERED_ENDS;
-        }
-      };
+  private final Map<JobId, JobPhase> ended = new Recent<>(REMEMBERED_ENDS);
   private final Map<JobId, Standing> active = new HashMap<>();
   private final Consumer<Consumer<Boolean>> prover;
   private final Supplier<Pressure> pressure;
--- a/src/main/java/org/mulleinshift/coordination/RunTimes.java
+++ b/src/main/java/org/mulleinshift/coordination/RunTimes.java
@@ -39,6 +39,11 @@
     }
   }
 
+  /** What a task should still take; one past its expected end frees nothing to count on. */
+  static double left(double expected, double ran) {
+    return ran > expected ? expected / 2 : expected - ran;
+  }
+
   double expectedSeconds(Job job) {
     double guess = job.spec().estimateSeconds();
     double byClass =
--- a/src/main/java/org/mulleinshift/coordination/chains/AcceptedCheck.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/AcceptedCheck.java
@@ -1,17 +1,15 @@
 package org.mulleinshift.coordination.chains;
 
 import java.util.ArrayDeque;
-import java.util.Collections;
 import java.util.Deque;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.mulleinshift.bookkeeping.Keys;
 import org.mulleinshift.bookkeeping.StateStore;
 import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.margin.Recent;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.StateCodec.Item;
 
@@ -36,16 +34,7 @@
   private final Predicate<JobId> seen;
 
   /** A long list is looked up at the rate that there is: a retry goes on where the last one was. */
-  private final Set<JobId> found =
-      Collections.newSetFromMap(
-          new LinkedHashMap<>() {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<JobId, Boolean> eldest) {
-              return size() > REMEMBERED;
-            }
-          });
+  private final Set<JobId> found = Recent.set(REMEMBERED);
 
   /**
    * A check.
--- a/src/main/java/org/mulleinshift/coordination/chains/ChainGraph.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/ChainGraph.java
@@ -37,11 +37,6 @@
     return Collections.unmodifiableSet(neededBy.getOrDefault(job, Set.of()));
   }
 
-  /** All that some job awaits. */
-  Set<JobId> needed() {
-    return Collections.unmodifiableSet(neededBy.keySet());
-  }
-
   /** The job was done; tells which jobs awaited nothing else. */
   List<JobId> done(JobId need) {
     List<JobId> free = new ArrayList<>();
--- a/src/main/java/org/mulleinshift/coordination/chains/Chains.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/Chains.java
@@ -32,18 +32,8 @@
   /** From a job's last end until the next one's tasks run: storing, telling, its image. */
   private static final double HAND_ON_SECONDS = 5;
 
-  /** How a job that others await stands. */
-  public sealed interface Standing {
-    /** Accepted and not over. */
-    record Open() implements Standing {}
-
-    record Done(long atMillis) implements Standing {}
-
-    record Cancelled() implements Standing {}
-
-    /** Nothing is known of it yet. */
-    record Unknown() implements Standing {}
-  }
+  /** How a job ended, as stored; the time of day of one that was done. */
+  public record End(JobPhase phase, long atMillis) {}
 
   /** What becomes of jobs that waited. */
   public interface Listener {
@@ -97,29 +87,15 @@
     changed = true;
   }
 
-  /** All that jobs wait for. */
-  public Collection<JobId> awaited() {
-    return List.copyOf(graph.needed());
-  }
-
-  public boolean isAwaited(JobId job) {
-    return !graph.neededBy(job).isEmpty();
-  }
-
-  /** What is known of a job that others await, once it is stored. */
-  public void learn(JobId need, Standing standing) {
-    if (standing instanceof Standing.Done done) {
-      done(need, done.atMillis());
-    } else if (standing instanceof Standing.Cancelled) {
+  /** The end of a job is stored. */
+  public void ended(JobId need, End end) {
+    if (end.phase() == JobPhase.DONE) {
+      done(need, end.atMillis());
+    } else {
       cancelled(need);
     }
   }
 
-  /** The end of a job is stored. */
-  public void ended(JobId need, JobPhase phase, long atMillis) {
-    learn(need, phase == JobPhase.DONE ? new Standing.Done(atMillis) : new Standing.Cancelled());
-  }
-
   private void done(JobId need, long atMillis) {
     graph.neededBy(need).forEach(job -> lastEnds.merge(job, atMillis, Math::max));
     for (JobId id : graph.done(need)) {
@@ -135,7 +111,7 @@
   }
 
   /** Cancelled, as stored: whatever needs it ends the same way, none of it has a task. */
-  private void cancelled(JobId need) {
+  public void cancelled(JobId need) {
     List<JobId> fallen = graph.dependants(need);
     if (!fallen.isEmpty()) {
       LOG.info("{} is cancelled, and {} that need it", need, fallen.size());
--- a/src/main/java/org/mulleinshift/coordination/chains/ListWriter.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/ListWriter.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.UUID;
@@ -12,6 +11,7 @@
 import org.mulleinshift.bookkeeping.Keys;
 import org.mulleinshift.bookkeeping.StateStore;
 import org.mulleinshift.bookkeeping.StateStore.Outcome;
+import org.mulleinshift.margin.Recent;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec.Guard;
@@ -35,15 +35,7 @@
 
   private final EventLoop loop;
   private final StateStore store;
-  private final Map<String, Integer> begun =
-      new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
-          return size() > REMEMBERED;
-        }
-      };
+  private final Map<String, Integer> begun = new Recent<>(REMEMBERED);
   private final int valueBytes;
   private final int mostOps;
 
--- a/src/main/java/org/mulleinshift/coordination/chains/NeedReader.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/NeedReader.java
@@ -18,7 +18,6 @@
 import org.mulleinshift.bookkeeping.StateStore.Answer;
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.JobId;
-import org.mulleinshift.protocol.JobPhase;
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.transport.EventLoop;
 import org.slf4j.Logger;
@@ -37,7 +36,7 @@
   private final EventLoop loop;
   private final StateStore store;
   private final BooleanSupplier wanted;
-  private final BiConsumer<JobId, Chains.Standing> learned;
+  private final BiConsumer<JobId, Chains.End> ended;
   private final Deque<Runnable> queue = new ArrayDeque<>();
   private final Set<JobId> asked = new HashSet<>();
   private int open;
@@ -51,11 +50,11 @@
       EventLoop loop,
       StateStore store,
       BooleanSupplier wanted,
-      BiConsumer<JobId, Chains.Standing> learned) {
+      BiConsumer<JobId, Chains.End> ended) {
     this.loop = loop;
     this.store = store;
     this.wanted = wanted;
-    this.learned = learned;
+    this.ended = ended;
   }
 
   /** How a job ended that is not among the active ones; asked once at a time. */
@@ -70,18 +69,14 @@
         Keys.ended(job),
         item -> {
           asked.remove(job);
-          learned.accept(job, item.map(NeedReader::standing).orElse(new Chains.Standing.Open()));
+          item.flatMap(NeedReader::end).ifPresent(end -> ended.accept(job, end));
         });
   }
 
-  private static Chains.Standing standing(Item item) {
-    Optional<JobPhase> phase = JobRecord.endedPhase(item);
-    if (phase.isEmpty()) {
-      return new Chains.Standing.Unknown();
-    }
-    return phase.get() == JobPhase.DONE
-        ? new Chains.Standing.Done(JobRecord.endedMillis(item).orElse(0))
-        : new Chains.Standing.Cancelled();
+  /** None if this build can't read it: what awaits the job waits on. */
+  private static Optional<Chains.End> end(Item item) {
+    return JobRecord.endedPhase(item)
+        .map(phase -> new Chains.End(phase, JobRecord.endedMillis(item).orElse(0)));
   }
 
   /** All that a job awaits; never called back if that can't be read, and the job waits on. */
--- a/src/main/java/org/mulleinshift/protocol/JobCodec.java
+++ b/src/main/java/org/mulleinshift/protocol/JobCodec.java
@@ -63,7 +63,11 @@
     if (!node.hasNonNull("awaits")) {
       return List.of();
     }
-    JsonNode list = node.get("awaits");
+    return jobIds(node.get("awaits"));
+  }
+
+  /** A list of job ids, each once. */
+  public static List<JobId> jobIds(JsonNode list) throws BadMessage {
     if (!list.isArray()) {
       throw new BadMessage("awaits is not a list");
     }
--- a/src/main/java/org/mulleinshift/protocol/StateCodec.java
+++ b/src/main/java/org/mulleinshift/protocol/StateCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.databind.util.RawValue;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -49,7 +50,7 @@
 
     /** What the service counts against the limit of a value. */
     public int bytes() {
-      return value.map(StateCodec::utf8).orElse(0);
+      return value.map(text -> StateCodec.bytes(text)).orElse(0);
     }
 
     public static Write delete(String key) {
@@ -61,17 +62,11 @@
 
   /** How long a value is for the service. */
   public static int bytes(JsonNode value) {
-    return utf8(Json.write(value));
+    return bytes(Json.write(value));
   }
 
-  private static int utf8(String text) {
-    int bytes = text.length();
-    for (int i = 0; i < text.length(); i++) {
-      char c = text.charAt(i);
-      // Two bytes and, beyond that, three; a pair of surrogates takes four.
-      bytes += c < 0x80 ? 0 : c < 0x800 || Character.isSurrogate(c) ? 1 : 2;
-    }
-    return bytes;
+  private static int bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8).length;
   }
 
   public static String keyPath(String key) {
--- a/src/test/java/org/mulleinshift/RandomScenarioTest.java
+++ b/src/test/java/org/mulleinshift/RandomScenarioTest.java
@@ -25,15 +25,16 @@
   @ParameterizedTest(name = "chains, seed {0}")
   @MethodSource("seeds")
   void endsChains(long seed) throws SettingsException {
-    List<String> lines = RandomScenario.chainedLines(seed);
-    assertEquals(
-        List.of(), Scenario.play(lines, seed), "seed " + seed + "\n" + String.join("\n", lines));
+    play(RandomScenario.chainedLines(seed), seed);
   }
 
   @ParameterizedTest(name = "seed {0}")
   @MethodSource("seeds")
   void keepsRulesAndEndsJobs(long seed) throws SettingsException {
-    List<String> lines = RandomScenario.lines(seed);
+    play(RandomScenario.lines(seed), seed);
+  }
+
+  private static void play(List<String> lines, long seed) throws SettingsException {
     assertEquals(
         List.of(), Scenario.play(lines, seed), "seed " + seed + "\n" + String.join("\n", lines));
   }
