--- a/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
+++ b/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
@@ -19,6 +19,7 @@
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.settings.PlatformSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +39,7 @@
   private final Leader.Surroundings around;
   private final LeaderJournal journal;
   private final int valueBytes;
+  private final boolean limitsFall;
   private final int mostOps;
   private boolean partsAllowed;
 
@@ -46,7 +48,10 @@
     this.around = around;
     this.journal = journal;
     this.mostOps = mostOps;
-    this.valueBytes = (int) (USED_OF_VALUE * around.settings().cluster().state().leastValueBytes());
+    PlatformSettings.State limits = around.settings().cluster().state();
+    // Else no build has stored anything longer than what fits.
+    this.limitsFall = limits.leastValueBytes() < limits.valueBytes();
+    this.valueBytes = (int) (USED_OF_VALUE * limits.leastValueBytes());
   }
 
   /** A page of stored progress; the whole of a chunk comes before its parts. */
@@ -104,7 +109,7 @@
                   delegation ->
                       delegation.state() == Delegation.State.WRITING
                           || delegation.state() == Delegation.State.ENDED);
-      if (waits || StateCodec.bytes(job.progress(part)) > valueBytes) {
+      if (waits || (limitsFall && StateCodec.bytes(job.progress(part)) > valueBytes)) {
         open.add(part);
       }
     }
