A holder's right to act is one value of three grounds: session renewed, grants read, cancellations known

Cause: Session.entitled rested on the session's renewal and the reading of the grants alone. Cancellations came by a watch, whose news may be held back, or by the leader's word; proofs of peers carried the control keys only. So a holder went on answering for more than a block lease after it last knew what was cancelled, and after an outage it started cancelled tasks before its watch had brought the news.

Now RightToAct (membership) ends a block lease after the oldest of the three moments, each that at which its question was sent, whoever carried it. The view of active jobs is proved with each renewal (one request, left out where a poll's proof is fresh), and by peers with a second question of the same form that names no lease: a peer of the earlier build finds no such lease and proves nothing by it. Also: tasks that nobody delegated are halted without the leader's word where their job is cancelled; halts come before all other orders; a task delegated by a leader that does not know yet is stopped; a job that needs a cancelled one is not called waiting after an outage (orphaned); answers that contradict the question prove nothing, are counted and logged once a minute.

--- a/src/main/java/org/mulleinshift/bookkeeping/PrefixView.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/PrefixView.java
@@ -43,7 +43,9 @@
   private final Map<String, Revision> versions = new HashMap<>();
   private List<Consumer<Boolean>> unproven = new ArrayList<>();
   private SteadyTime provenAt;
+  private Optional<SteadyTime> knownAsOf = Optional.empty();
   private boolean proving;
+  private boolean promptly;
   private boolean complete;
   private boolean reading;
   private State state = State.IDLE;
@@ -70,8 +72,12 @@
     readPage(Optional.empty(), Optional.empty(), new HashSet<>(versions.keySet()));
   }
 
-  private void readPage(Optional<String> after, Optional<Revision> first, Set<String> unseen) {
+  /** From where a watch misses nothing, and when the reading that shows that was asked for. */
+  private record First(Revision revision, SteadyTime asked) {}
+
+  private void readPage(Optional<String> after, Optional<First> first, Set<String> unseen) {
     long mine = enter(State.READING);
+    SteadyTime asked = loop.now();
     store.page(
         prefix,
         after,
@@ -86,7 +92,7 @@
           StateCodec.Range page = found.value();
           take(page.items(), unseen);
           // The oldest page's revision: a watch from there misses nothing.
-          Revision from = first.orElse(page.revision());
+          First from = first.orElse(new First(page.revision(), asked));
           if (page.next().isPresent()) {
             readPage(page.next(), Optional.of(from), unseen);
           } else {
@@ -106,12 +112,13 @@
     }
   }
 
-  private void readToEnd(Revision from, Set<String> gone) {
+  private void readToEnd(First from, Set<String> gone) {
     for (String key : gone) {
       versions.remove(key);
       listener.changed(key, Optional.empty());
     }
-    revision = from;
+    revision = from.revision();
+    known(from.asked());
     reading = false;
     complete = true;
     listener.settled(revision);
@@ -127,6 +134,24 @@
     proveSoon();
   }
 
+  /** The same for one who can't wait for room at the state service's rate; tells the listener. */
+  public void provePromptly() {
+    promptly = true;
+    prove(known -> {});
+  }
+
+  private void known(SteadyTime asked) {
+    knownAsOf = Optional.of(knownAsOf.filter(known -> known.isAfter(asked)).orElse(asked));
+  }
+
+  /**
+   * Every change stored before this moment was told to the listener: it is when a question was sent
+   * that was answered since. None before all keys were read.
+   */
+  public Optional<SteadyTime> knownAsOf() {
+    return knownAsOf;
+  }
+
   private void proveSoon() {
     if (proving || unproven.isEmpty()) {
       return;
@@ -140,7 +165,10 @@
   private void sendProof() {
     List<Consumer<Boolean>> asking = unproven;
     unproven = new ArrayList<>();
-    provenAt = loop.now();
+    SteadyTime asked = loop.now();
+    provenAt = asked;
+    StateStore.Urgency urgency = promptly ? StateStore.Urgency.URGENT : StateStore.Urgency.NORMAL;
+    promptly = false;
     if (!complete) {
       proven(asking, false);
       return;
@@ -148,10 +176,11 @@
     store.changes(
         prefix,
         revision,
+        urgency,
         answer -> {
           boolean found = !reading && answer instanceof StateStore.Answer.Found<StateCodec.Changes>;
           if (found) {
-            apply(((StateStore.Answer.Found<StateCodec.Changes>) answer).value());
+            apply(((StateStore.Answer.Found<StateCodec.Changes>) answer).value(), asked);
           }
           proven(asking, found);
         });
@@ -195,7 +224,7 @@
             return;
           }
           if (answer instanceof StateStore.Answer.Found<StateCodec.Changes> found) {
-            apply(found.value());
+            apply(found.value(), opened);
             watchAgain(opened);
           } else if (answer instanceof StateStore.Answer.Absent<StateCodec.Changes>) {
             // 410: the service no longer keeps the changes since our revision.
@@ -228,16 +257,20 @@
     return revision;
   }
 
-  /** Changes since {@link #revision()} that came another way; false if they can't be taken now. */
-  public boolean take(StateCodec.Changes seen) {
+  /**
+   * Changes since {@link #revision()} that came another way; false if they can't be taken now.
+   *
+   * @param asked when they were asked for
+   */
+  public boolean take(StateCodec.Changes seen, SteadyTime asked) {
     if (!complete || reading) {
       return false;
     }
-    apply(seen);
+    apply(seen, asked);
     return true;
   }
 
-  private void apply(StateCodec.Changes seen) {
+  private void apply(StateCodec.Changes seen, SteadyTime asked) {
     for (StateCodec.Change change : seen.changes()) {
       // Answers to watches and proofs cross: what lies before our revision was told already, and a
       // key that is gone since must not come back by it.
@@ -257,6 +290,7 @@
     if (seen.revision().compareTo(revision) > 0) {
       revision = seen.revision();
     }
+    known(asked);
     listener.settled(revision);
   }
 }
--- a/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/StateStore.java
@@ -287,10 +287,11 @@
   }
 
   /** All changes up to now, without waiting for any. */
-  public void changes(String prefix, Revision from, Consumer<Answer<StateCodec.Changes>> then) {
+  public void changes(
+      String prefix, Revision from, Urgency urgency, Consumer<Answer<StateCodec.Changes>> then) {
     call(
         HttpRequest.get(StateCodec.watchPath(prefix, from, Duration.ZERO), PROOF_DEADLINE),
-        Urgency.NORMAL,
+        urgency,
         StateCodec::parseChanges,
         then);
   }
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -249,7 +249,8 @@
       unplaced.add(known);
       reports.changed(id);
     }
-    if (item.getStop()) {
+    // The leader may not know yet what this node does.
+    if (item.getStop() || around.cancelled().test(id.job())) {
       requestStop(known);
     }
   }
@@ -427,39 +428,45 @@
     };
   }
 
-  /** Everything the machine still has to do, in one go: every order can be repeated. */
+  /**
+   * Everything the machine still has to do, in one go: every order can be repeated. What must stop
+   * comes first: an answer that reaches the worker then never keeps it alive without telling it so.
+   */
   private List<Order> ordersFor(HeldMachine machine) {
-    List<Order> orders = new ArrayList<>();
-    // Without the leader's set it is not known which tasks belong here.
-    if (seenTerm > 0) {
-      for (WorkerReport.Entry stray : machine.strays()) {
-        if (leftAlone.contains(stray.task().job())) {
-          // The leader can't read the job: whether its tasks should run is not for us to say.
-          continue;
-        }
-        if (orders.size() >= MOST_ORDERS) {
-          // Repeated with the next report; a machine may know thousands of ended tasks.
-          break;
-        }
-        if (stray.state() != WorkerReport.State.EXITED) {
-          orders.add(new Order.Halt(stray.task(), stray.attempt(), Duration.ZERO));
-        } else if (!machine.directInFlight()) {
-          // An order that is still on its way would start a forgotten attempt again.
-          orders.add(new Order.Forget(stray.task(), stray.attempt()));
-        }
+    List<Order> halts = new ArrayList<>();
+    List<Order> others = new ArrayList<>();
+    for (WorkerReport.Entry stray : machine.strays()) {
+      boolean exited = stray.state() == WorkerReport.State.EXITED;
+      if (!exited && mustStop(stray.task().job())) {
+        halts.add(new Order.Halt(stray.task(), stray.attempt(), Duration.ZERO));
+      } else if (exited && mayJudge(stray.task().job()) && !machine.directInFlight()) {
+        // An order that is still on its way would start a forgotten attempt again.
+        others.add(new Order.Forget(stray.task(), stray.attempt()));
       }
     }
     for (HeldTask task : machine.tasks()) {
-      if (orders.size() >= MOST_ORDERS) {
-        break;
-      }
       if (task.stopRequested()) {
-        orders.add(new Order.Halt(task.task(), task.attempt(), graceOf(task)));
+        halts.add(new Order.Halt(task.task(), task.attempt(), graceOf(task)));
       } else if (task.phase() == TaskPhase.STARTING) {
-        orders.add(new Order.Run(task.task(), task.attempt()));
+        others.add(new Order.Run(task.task(), task.attempt()));
       }
     }
-    return orders;
+    halts.addAll(others);
+    // The rest comes with the next report; a machine may know thousands of ended tasks.
+    return halts.subList(0, Math.min(MOST_ORDERS, halts.size()));
+  }
+
+  /**
+   * Without the leader's set it is not known which tasks belong here; of jobs that the leader can't
+   * read it never is.
+   */
+  private boolean mayJudge(JobId job) {
+    return seenTerm > 0 && !leftAlone.contains(job);
+  }
+
+  /** Of a task that nobody delegated here. A cancelled job's are to stop, whoever leads. */
+  private boolean mustStop(JobId job) {
+    return mayJudge(job) || around.cancelled().test(job);
   }
 
   private Duration graceOf(HeldTask task) {
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -176,6 +176,7 @@
             self,
             blockLease,
             shorter(tunables.seconds(Tunables.Key.RENEW_S), blockLease.dividedBy(5)),
+            jobs::provePromptly,
             this::onSessionChange);
     this.election =
         new Election(
@@ -196,7 +197,7 @@
         new PeerProofs(
             loop,
             self,
-            new PeerProofs.Parts(store, stateLink, links, session, view, control),
+            new PeerProofs.Parts(store, stateLink, links, session, view, control, jobs),
             this::send);
     this.catalog = new Catalog(loop, outside.cloud(), settings.cloud(), this::onSessionChange);
     this.desk =
@@ -693,6 +694,7 @@
 
     @Override
     public void settled(Revision revision) {
+      jobs.knownAsOf().ifPresent(session::cancellationsKnown);
       if (!jobsKnown) {
         jobsKnown = true;
         observeElection();
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -18,6 +18,7 @@
 import org.mulleinshift.bookkeeping.StateStore.Outcome;
 import org.mulleinshift.coordination.chains.AcceptedCheck;
 import org.mulleinshift.coordination.chains.ListWriter;
+import org.mulleinshift.coordination.chains.Orphans;
 import org.mulleinshift.margin.Pressure;
 import org.mulleinshift.margin.Recent;
 import org.mulleinshift.protocol.BadMessage;
@@ -75,6 +76,7 @@
   private final Consumer<JobId> onCancelled;
   private final Map<JobId, JobPhase> ended = new Recent<>(REMEMBERED_ENDS);
   private final Map<JobId, Standing> active = new HashMap<>();
+  private final Orphans orphans = new Orphans();
   private final Consumer<Consumer<Boolean>> prover;
   private final Supplier<Pressure> pressure;
   private int pollsWaiting;
@@ -117,10 +119,12 @@
   /** An active job as the view of them shows it; without a record it cannot be read. */
   void onActive(JobId id, Optional<JobRecord> record) {
     active.put(id, record.<Standing>map(Standing.Active::new).orElse(new Standing.Unknown()));
+    record.ifPresent(orphans::onActive);
   }
 
   void onNoLongerActive(JobId id) {
     active.remove(id);
+    orphans.onNoLongerActive(id);
   }
 
   void submit(String body, Responder responder) {
@@ -391,6 +395,10 @@
         ended.put(id, JobPhase.CANCELLED);
         respond(id, 200, JobPhase.CANCELLED, responder);
       } else {
+        if (orphans.contains(id)) {
+          unavailable(responder);
+          return;
+        }
         JobCount count = counts.get(id.value());
         boolean running = count != null && count.getRunning() > 0;
         respond(id, 200, running ? JobPhase.RUNNING : JobPhase.PENDING, responder);
--- a/src/main/java/org/mulleinshift/coordination/HolderDesk.java
+++ b/src/main/java/org/mulleinshift/coordination/HolderDesk.java
@@ -93,6 +93,9 @@
 
   private void tick() {
     loop.after(TICK, this::tick);
+    if (!held.isEmpty()) {
+      session.tellRight();
+    }
     held.values().forEach(BlockHolder::tick);
   }
 
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/chains/Orphans.java
@@ -0,0 +1,66 @@
+package org.mulleinshift.coordination.chains;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mulleinshift.bookkeeping.JobRecord;
+import org.mulleinshift.protocol.JobId;
+
+/**
+ * Active jobs that need one whose cancellation is stored, directly or through others: they are
+ * cancelled with it, though no leader may have stored that yet. Nobody may be told that they wait.
+ * A job whose needs stand in lists of their own is not looked through.
+ */
+public final class Orphans {
+  private final Map<JobId, List<JobId>> needs = new HashMap<>();
+  private final Set<JobId> cancelled = new HashSet<>();
+  private final Set<JobId> found = new HashSet<>();
+  private boolean changed;
+
+  /** An active job as it is stored now. */
+  public void onActive(JobRecord job) {
+    if (!job.awaits().none()) {
+      needs.put(job.id(), job.awaits().named());
+      changed = true;
+    }
+    if (job.cancelled()) {
+      changed |= cancelled.add(job.id());
+    }
+  }
+
+  public void onNoLongerActive(JobId job) {
+    changed |= needs.remove(job) != null | cancelled.remove(job);
+  }
+
+  /** Worked out anew only after a change, and only while a cancelled job is not over. */
+  public boolean contains(JobId job) {
+    if (cancelled.isEmpty() || !needs.containsKey(job)) {
+      return false;
+    }
+    if (changed) {
+      changed = false;
+      work();
+    }
+    return found.contains(job);
+  }
+
+  private void work() {
+    Map<JobId, Set<JobId>> neededBy = new HashMap<>();
+    needs.forEach(
+        (job, all) ->
+            all.forEach(need -> neededBy.computeIfAbsent(need, k -> new HashSet<>()).add(job)));
+    found.clear();
+    Deque<JobId> open = new ArrayDeque<>(cancelled);
+    while (!open.isEmpty()) {
+      for (JobId job : neededBy.getOrDefault(open.poll(), Set.of())) {
+        if (found.add(job)) {
+          open.add(job);
+        }
+      }
+    }
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/membership/PeerProofs.java
+++ b/src/main/java/org/mulleinshift/coordination/membership/PeerProofs.java
@@ -30,9 +30,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * A controller that lost the state service asks a served peer to renew its session lease and to
- * tell what has changed among the control keys; so it goes on holding its blocks. What the peer
- * does comes after the question: entitlement counts from when it was asked.
+ * A controller that lost the state service asks a served peer to renew its session lease, to tell
+ * what has changed among the control keys, and what among the active jobs, where cancellations are;
+ * so it goes on holding its blocks. What the peer does comes after the question: each ground of the
+ * {@link RightToAct} counts from when it was asked for.
+ *
+ * <p>The question for the active jobs names no lease. A peer of an earlier build finds that lease
+ * over, says so, and proves nothing by it.
  */
 public final class PeerProofs {
   private static final Logger LOG = LoggerFactory.getLogger(PeerProofs.class);
@@ -41,7 +45,14 @@
   /** Longer answers are left out; the asker then runs to the end of its lease. */
   private static final int MOST_CHARACTERS = 1 << 19;
 
-  private record Question(HoldId hold, SteadyTime askedAt) {}
+  private static final HoldId NO_LEASE = new HoldId(0);
+  private static final Duration BAD_LOGGED = Duration.ofMinutes(1);
+
+  private record Question(HoldId hold, Revision since, SteadyTime askedAt) {
+    String prefix() {
+      return hold.equals(NO_LEASE) ? Keys.ACTIVE : Keys.CONTROL;
+    }
+  }
 
   private final EventLoop loop;
   private final NodeId self;
@@ -51,10 +62,14 @@
   private final Session session;
   private final ControlView view;
   private final PrefixView control;
+  private final PrefixView jobs;
   private final BiConsumer<NodeId, Object> send;
   private final Map<Long, Question> asked = new HashMap<>();
   private long questions;
+  private long turns;
   private boolean running;
+  private long bad;
+  private Optional<SteadyTime> badLoggedAt = Optional.empty();
 
   /** What proofs are made of. */
   public record Parts(
@@ -63,7 +78,8 @@
       Links links,
       Session session,
       ControlView view,
-      PrefixView control) {}
+      PrefixView control,
+      PrefixView jobs) {}
 
   public PeerProofs(EventLoop loop, NodeId self, Parts parts, BiConsumer<NodeId, Object> send) {
     this.loop = loop;
@@ -74,6 +90,7 @@
     this.session = parts.session();
     this.view = parts.view();
     this.control = parts.control();
+    this.jobs = parts.jobs();
     this.send = send;
   }
 
@@ -99,33 +116,44 @@
     }
     asked.values().removeIf(old -> loop.now().since(old.askedAt).compareTo(EVERY) > 0);
     // One after the other: a peer that does not answer costs one turn.
-    NodeId peer = served.get((int) (questions % served.size()));
+    NodeId peer = served.get((int) (turns % served.size()));
+    turns++;
+    ask(peer, hold.get(), control.revision());
+    ask(peer, NO_LEASE, jobs.revision());
+  }
+
+  private void ask(NodeId peer, HoldId hold, Revision since) {
     long id = ++questions;
-    asked.put(id, new Question(hold.get(), loop.now()));
-    send.accept(peer, new ProofRequest(id, hold.get().value(), control.revision().value()));
+    asked.put(id, new Question(hold, since, loop.now()));
+    send.accept(peer, new ProofRequest(id, hold.value(), since.value()));
   }
 
-  /** A peer without the state service asks. Two requests at the service, with no write. */
+  /** A peer without the state service asks. Three requests at the service, with no write. */
   public void onRequest(NodeId sender, ProofRequest request) {
     if (link.state() != StateLink.State.SERVED) {
       return;
     }
     HoldId hold = new HoldId(request.getHold());
+    if (hold.equals(NO_LEASE)) {
+      readChanges(sender, request, Keys.ACTIVE);
+      return;
+    }
     store.renew(
         hold,
         renewed -> {
           if (renewed instanceof Answer.Absent<Boolean>) {
             send.accept(sender, answer(request, true, new Changes(List.of(), new Revision(0))));
           } else if (renewed instanceof Answer.Found<Boolean>) {
-            readChanges(sender, request);
+            readChanges(sender, request, Keys.CONTROL);
           }
         });
   }
 
-  private void readChanges(NodeId sender, ProofRequest request) {
+  private void readChanges(NodeId sender, ProofRequest request, String prefix) {
     store.changes(
-        Keys.CONTROL,
+        prefix,
         new Revision(request.getSince()),
+        StateStore.Urgency.URGENT,
         answer -> {
           if (answer instanceof Answer.Found<Changes> found) {
             send.accept(sender, answer(request, false, found.value()));
@@ -154,25 +182,34 @@
   /** Counted from when this node asked; an answer to no open question is out of date. */
   public void onAnswer(NodeId sender, ProofAnswer answer) {
     Question question = asked.remove(answer.getId());
-    if (question == null || question.hold.value() != answer.getHold()) {
-      return;
-    }
-    if (answer.getOver()) {
-      session.provenOver(question.hold);
+    if (question == null) {
       return;
     }
-    if (!answer.getComplete()) {
-      LOG.warn("too much has changed for a proof by {}", sender);
-      return;
+    if (question.hold.value() != answer.getHold()) {
+      provesNothing(sender, "of another lease");
+    } else if (answer.getOver()) {
+      if (!question.hold.equals(NO_LEASE)) {
+        session.provenOver(question.hold);
+      }
+    } else if (!answer.getComplete()) {
+      provesNothing(sender, "too much has changed");
+    } else {
+      take(sender, question, answer);
     }
-    List<Change> changes;
+  }
+
+  private void take(NodeId sender, Question question, ProofAnswer answer) {
+    Changes changes;
     try {
-      changes = parse(answer);
+      changes = parse(question, answer);
     } catch (BadMessage e) {
-      LOG.warn("proof by {}: {}", sender, e.getMessage());
+      provesNothing(sender, e.getMessage());
       return;
     }
-    if (control.take(new Changes(changes, new Revision(answer.getRevision())))) {
+    if (question.hold.equals(NO_LEASE)) {
+      // What is taken tells the session by itself.
+      jobs.take(changes, question.askedAt);
+    } else if (control.take(changes, question.askedAt)) {
       Map<BlockId, Revision> mine = new HashMap<>();
       view.grants()
           .forEach(
@@ -185,15 +222,31 @@
     }
   }
 
-  private static List<Change> parse(ProofAnswer answer) throws BadMessage {
+  private static Changes parse(Question question, ProofAnswer answer) throws BadMessage {
+    if (answer.getRevision() < question.since.value()) {
+      throw new BadMessage("of an earlier revision than asked for");
+    }
     List<Change> changes = new ArrayList<>();
     for (KeyChange change : answer.getChanges()) {
+      if (!change.getKey().startsWith(question.prefix())
+          || change.getVersion() > answer.getRevision()) {
+        throw new BadMessage(change.getKey() + " does not belong there");
+      }
       Optional<JsonNode> value =
           change.getValue().isEmpty()
               ? Optional.empty()
               : Optional.of(Json.parseObject(change.getValue()));
       changes.add(new Change(change.getKey(), value, new Revision(change.getVersion())));
     }
-    return changes;
+    return new Changes(changes, new Revision(answer.getRevision()));
+  }
+
+  private void provesNothing(NodeId sender, String why) {
+    bad++;
+    SteadyTime now = loop.now();
+    if (badLoggedAt.filter(at -> now.since(at).compareTo(BAD_LOGGED) < 0).isEmpty()) {
+      badLoggedAt = Optional.of(now);
+      LOG.warn("answer of {} proves nothing, {} so far: {}", sender, bad, why);
+    }
   }
 }
--- a/src/main/java/org/mulleinshift/coordination/membership/Session.java
+++ b/src/main/java/org/mulleinshift/coordination/membership/Session.java
@@ -9,6 +9,7 @@
 import org.mulleinshift.bookkeeping.Keys;
 import org.mulleinshift.bookkeeping.StateStore;
 import org.mulleinshift.bookkeeping.StateStore.Answer;
+import org.mulleinshift.coordination.membership.RightToAct.Ground;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.HoldId;
 import org.mulleinshift.protocol.NodeId;
@@ -24,15 +25,11 @@
 
 /**
  * This process's lease at the state service, to which its block grants are bound, and the proof
- * that the grants still stand. Entitlement ends by the steady clock, counted from when the renewal
- * and the reading of the grants were sent, less drift: the store then cannot have ended the lease
- * earlier than we stop.
+ * that the grants still stand. How long this node may act by them is its {@link RightToAct}.
  */
 public final class Session {
   private static final Logger LOG = LoggerFactory.getLogger(Session.class);
   private static final Duration RETRY = Duration.ofMillis(500);
-  private static final Duration SAFETY = Duration.ofMillis(200);
-  private static final double DRIFT = 0.001;
 
   /** States of the session. */
   public enum State {
@@ -48,29 +45,37 @@
   private final NodeId self;
   private final Duration ttl;
   private final Duration renewEvery;
+  private final Runnable proveCancellations;
   private final Runnable onChange;
+  private final RightToAct right;
   private State state = State.CLEARING;
   private Optional<HoldId> hold = Optional.empty();
-  private SteadyTime renewedAt;
   private SteadyTime verifiedAt;
+  private boolean stood;
   private Map<BlockId, Revision> verified = Map.of();
   private boolean verifyPlanned;
 
+  /**
+   * @param proveCancellations asks the store whether all cancellations are known; {@link
+   *     #cancellationsKnown} tells what came of it
+   */
   public Session(
       EventLoop loop,
       StateStore store,
       NodeId self,
       Duration ttl,
       Duration renewEvery,
+      Runnable proveCancellations,
       Runnable onChange) {
     this.loop = loop;
     this.store = store;
     this.self = self;
     this.ttl = ttl;
     this.renewEvery = renewEvery;
+    this.proveCancellations = proveCancellations;
     this.onChange = onChange;
-    this.renewedAt = loop.now().minus(ttl);
-    this.verifiedAt = renewedAt;
+    this.right = new RightToAct(ttl);
+    this.verifiedAt = loop.now().minus(ttl);
   }
 
   public void start() {
@@ -136,7 +141,7 @@
         answer -> {
           if (answer instanceof Answer.Found<HoldId> found) {
             hold = Optional.of(found.value());
-            renewedAt = sent;
+            renewed(sent);
             register(found.value());
           } else {
             loop.after(RETRY, this::acquire);
@@ -167,6 +172,9 @@
     }
     SteadyTime sent = loop.now();
     verify();
+    if (!right.fresh(Ground.CANCELLATIONS_KNOWN, sent, renewEvery.dividedBy(2))) {
+      proveCancellations.run();
+    }
     store.renew(
         mine,
         answer -> {
@@ -186,13 +194,13 @@
   }
 
   private void renewed(SteadyTime sent) {
-    renewedAt = sent.isAfter(renewedAt) ? sent : renewedAt;
+    right.shown(Ground.SESSION_RENEWED, sent);
   }
 
   private void over(HoldId mine) {
     LOG.warn("session lease {} is over", mine);
     hold = Optional.empty();
-    renewedAt = loop.now().minus(ttl);
+    right.gone(Ground.SESSION_RENEWED);
     verified = Map.of();
     acquire();
   }
@@ -200,6 +208,7 @@
   private void verified(SteadyTime sent, Map<BlockId, Revision> mine) {
     if (sent.isAfter(verifiedAt)) {
       verifiedAt = sent;
+      right.shown(Ground.GRANTS_READ, sent);
       boolean changed = !mine.equals(verified);
       verified = mine;
       if (changed) {
@@ -209,9 +218,7 @@
   }
 
   /**
-   * A peer renewed this lease and read the grants for us. Both happened after we asked: counted
-   * from then, less drift, entitlement ends before the store can end the lease, whoever carried the
-   * question and however late the answer is.
+   * A peer renewed this lease and read the grants for us. Both happened after we asked.
    *
    * @param sent when this node asked
    */
@@ -261,14 +268,34 @@
         });
   }
 
-  private Duration usable() {
-    return Duration.ofNanos((long) (ttl.toNanos() * (1 - DRIFT))).minus(SAFETY);
+  /**
+   * Every cancellation stored before that moment is known here.
+   *
+   * @param asked when the question was sent whose answer showed it
+   */
+  public void cancellationsKnown(SteadyTime asked) {
+    right.shown(Ground.CANCELLATIONS_KNOWN, asked);
   }
 
   /** Checked whenever this node acts, not only by a timer: timers may go off late. */
   public boolean entitled(BlockId block, Revision grant) {
-    SteadyTime end = renewedAt.earlier(verifiedAt).plus(usable());
-    return state == State.HELD && end.isAfter(loop.now()) && grant.equals(verified.get(block));
+    return mayAct() && grant.equals(verified.get(block));
+  }
+
+  /** Whether this node may act at all, for the blocks that are its own. */
+  boolean mayAct() {
+    return state == State.HELD && right.stands(loop.now());
+  }
+
+  /** For the log; called a few times a second while blocks are held. */
+  public void tellRight() {
+    boolean stands = mayAct();
+    if (stood && !stands) {
+      LOG.warn("may not act for its blocks: {}", right.weakest(loop.now()));
+    } else if (!stood && stands) {
+      LOG.info("may act for its blocks");
+    }
+    stood = stands;
   }
 
   public Map<BlockId, Revision> grants() {
--- a/src/test/java/org/mulleinshift/coordination/membership/ProofTest.java
+++ b/src/test/java/org/mulleinshift/coordination/membership/ProofTest.java
@@ -40,6 +40,7 @@
   private final ControlView view = new ControlView();
   private final Links links = new Links(loop, SELF);
   private boolean cut;
+  private boolean newsHeldBack;
   private final StateStore store =
       new StateStore(
           loop,
@@ -72,31 +73,43 @@
             }
           });
   private final Session session =
-      new Session(loop, store, SELF, LEASE, Duration.ofSeconds(2), () -> {});
-  private final PrefixView control =
-      new PrefixView(
-          loop,
-          store,
-          Keys.CONTROL,
-          Duration.ofMillis(40),
-          new PrefixView.Listener() {
-            @Override
-            public void changed(String key, Optional<StateCodec.Item> item) {
-              view.apply(key, item);
-            }
-
-            @Override
-            public void settled(Revision revision) {
-              // Nobody waits for it here.
-            }
-          });
+      new Session(
+          loop, store, SELF, LEASE, Duration.ofSeconds(2), () -> jobs().provePromptly(), () -> {});
+  private final PrefixView control = follow(Keys.CONTROL, () -> {});
+  private final PrefixView jobs =
+      follow(Keys.ACTIVE, () -> jobs().knownAsOf().ifPresent(session::cancellationsKnown));
   private final PeerProofs proofs =
       new PeerProofs(
           loop,
           SELF,
-          new PeerProofs.Parts(store, link, links, session, view, control),
+          new PeerProofs.Parts(store, link, links, session, view, control, jobs),
           (node, body) -> sent.add(body));
 
+  private PrefixView jobs() {
+    return jobs;
+  }
+
+  private PrefixView follow(String prefix, Runnable settled) {
+    return new PrefixView(
+        loop,
+        store,
+        prefix,
+        Duration.ofMillis(40),
+        new PrefixView.Listener() {
+          @Override
+          public void changed(String key, Optional<StateCodec.Item> item) {
+            if (prefix.equals(Keys.CONTROL)) {
+              view.apply(key, item);
+            }
+          }
+
+          @Override
+          public void settled(Revision revision) {
+            settled.run();
+          }
+        });
+  }
+
   private void probe() {
     store.get(Keys.LEADER, StateStore.Urgency.URGENT, answer -> {});
   }
@@ -114,22 +127,29 @@
             ? "{\"hold\":7}"
             : path.startsWith("/keys?")
                 ? "{\"rows\":[],\"more\":false,\"epoch\":3}"
-                : "{\"epoch\":3}";
-    boolean known = !path.startsWith("/keys/") && !path.startsWith("/changes");
-    if (cut) {
+                : "{\"epoch\":3,\"news\":[]}";
+    boolean known = !path.startsWith("/keys/");
+    boolean waits = path.startsWith("/changes") && !path.endsWith("hold_ms=0");
+    boolean heldBack = newsHeldBack && path.startsWith("/changes");
+    if (cut || heldBack) {
       loop.after(request.deadline(), () -> reply.accept(HttpReply.NONE));
-    } else if (!path.startsWith("/changes")) {
+    } else if (!waits) {
       loop.post(() -> reply.accept(new HttpReply(known ? 200 : 404, body)));
     }
   }
 
-  private ProofRequest cutOffAndAsked() {
+  private void served() {
     store.tell(link);
     link.start();
     session.start();
     control.start();
+    jobs.start();
     loop.runFor(1);
     assertEquals(Session.State.HELD, session.state());
+  }
+
+  private ProofRequest cutOffAndAsked() {
+    served();
     cut = true;
     for (int i = 0; i < 6 && sent.isEmpty(); i++) {
       peerSpeaks();
@@ -139,6 +159,15 @@
     return (ProofRequest) sent.get(0);
   }
 
+  /** The question for what was cancelled, asked beside the one for the session. */
+  private ProofRequest second() {
+    return (ProofRequest) sent.get(1);
+  }
+
+  private static ProofAnswer nothingCancelled(ProofRequest asked) {
+    return new ProofAnswer(asked.getId(), asked.getHold(), false, true, 50L, List.of());
+  }
+
   private static ProofAnswer answerTo(ProofRequest asked) {
     return new ProofAnswer(
         asked.getId(),
@@ -155,6 +184,7 @@
     SteadyTime askedBy = loop.now();
     loop.runFor(0.4);
     proofs.onAnswer(PEER, answerTo(asked));
+    proofs.onAnswer(PEER, nothingCancelled(second()));
     assertTrue(session.entitled(BLOCK, GRANT));
     loop.runFor(LEASE.toMillis() / 1000.0 - 0.4 - 0.3);
     assertTrue(loop.now().since(askedBy).compareTo(LEASE) < 0);
@@ -167,6 +197,7 @@
     ProofRequest asked = cutOffAndAsked();
     loop.runFor(12);
     proofs.onAnswer(PEER, answerTo(asked));
+    proofs.onAnswer(PEER, nothingCancelled(second()));
     assertFalse(session.entitled(BLOCK, GRANT));
   }
 
@@ -177,9 +208,80 @@
     assertTrue(session.entitled(BLOCK, GRANT));
     peerSpeaks();
     loop.runFor(1.2);
-    ProofRequest next = (ProofRequest) sent.get(sent.size() - 1);
+    ProofRequest next = (ProofRequest) sent.get(sent.size() - 2);
     proofs.onAnswer(PEER, new ProofAnswer(next.getId(), next.getHold(), true, true, 0L, List.of()));
     assertFalse(session.entitled(BLOCK, GRANT));
     assertEquals(Optional.empty(), session.hold());
   }
+
+  /**
+   * Renews the session by the peer for so many seconds; the last question for what is cancelled.
+   */
+  private ProofRequest renewedByPeerFor(int seconds) {
+    for (int i = 0; i < seconds; i++) {
+      peerSpeaks();
+      loop.runFor(1);
+      proofs.onAnswer(PEER, answerTo((ProofRequest) sent.get(sent.size() - 2)));
+    }
+    return (ProofRequest) sent.get(sent.size() - 1);
+  }
+
+  @Test
+  void sessionAndGrantsWithoutCancellationsEndTheRight() {
+    cutOffAndAsked();
+    ProofRequest asked = renewedByPeerFor(12);
+    assertFalse(session.entitled(BLOCK, GRANT), "a lease after cancellations were last known");
+    proofs.onAnswer(PEER, nothingCancelled(asked));
+    assertTrue(session.entitled(BLOCK, GRANT));
+  }
+
+  @Test
+  void peerOfAnEarlierBuildProvesNoCancellations() {
+    cutOffAndAsked();
+    ProofRequest asked = renewedByPeerFor(12);
+    // It looks for a lease of that name, finds none, and says that it is over.
+    proofs.onAnswer(
+        PEER, new ProofAnswer(asked.getId(), asked.getHold(), true, true, 0L, List.of()));
+    assertFalse(session.entitled(BLOCK, GRANT));
+    assertEquals(Session.State.HELD, session.state(), "the session's own lease stands");
+  }
+
+  @Test
+  void contradictionsProveNothing() {
+    cutOffAndAsked();
+    ProofRequest asked = renewedByPeerFor(12);
+    long id = asked.getId();
+    KeyChange elsewhere = new KeyChange("c/g/a-0", "{}", 40L);
+    KeyChange later = new KeyChange("a/run-1", "{}", 60L);
+    KeyChange unreadable = new KeyChange("a/run-1", "[", 40L);
+    List<ProofAnswer> bad =
+        List.of(
+            new ProofAnswer(id, asked.getHold(), false, false, 50L, List.of()),
+            new ProofAnswer(id, asked.getHold(), false, true, 1L, List.of()),
+            new ProofAnswer(id, 9L, false, true, 50L, List.of()),
+            new ProofAnswer(id, asked.getHold(), false, true, 50L, List.of(elsewhere)),
+            new ProofAnswer(id, asked.getHold(), false, true, 50L, List.of(later)),
+            new ProofAnswer(id, asked.getHold(), false, true, 50L, List.of(unreadable)));
+    for (ProofAnswer answer : bad) {
+      ProofRequest open = renewedByPeerFor(1);
+      answer.setId(open.getId());
+      proofs.onAnswer(PEER, answer);
+      assertFalse(session.entitled(BLOCK, GRANT), answer.toString());
+    }
+    proofs.onAnswer(PEER, nothingCancelled(renewedByPeerFor(1)));
+    assertTrue(session.entitled(BLOCK, GRANT));
+  }
+
+  @Test
+  void heldBackNewsEndTheRightThoughRenewalsAreAnswered() {
+    served();
+    loop.runFor(20);
+    assertTrue(session.mayAct());
+    newsHeldBack = true;
+    loop.runFor(LEASE.toMillis() / 1000.0 + 1);
+    assertFalse(session.mayAct());
+    newsHeldBack = false;
+    loop.runFor(5);
+    assertTrue(session.mayAct());
+  }
 }
--- a/src/test/java/org/mulleinshift/sim/RuleBook.java
+++ b/src/test/java/org/mulleinshift/sim/RuleBook.java
@@ -63,6 +63,7 @@
   private final Map<String, OnMachine> running = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
   private int starts;
+  private double longestGone;
 
   RuleBook(World world, Map<String, Double> teamLimits, double cancelSeconds) {
     this.world = world;
@@ -201,8 +202,16 @@
     }
   }
 
+  /** The longest time from when a user was told of a cancellation to the end of a task of it. */
+  double longestGone() {
+    return longestGone;
+  }
+
   private void checkCancelled(String task) {
     TrueJob job = jobs.get(jobOf(task));
+    if (job.cancelledAt != null) {
+      longestGone = Math.max(longestGone, world.seconds() - job.cancelledAt);
+    }
     if (job.cancelledAt != null && world.seconds() > job.cancelledAt + cancelSeconds + 0.01) {
       violated("ran_cancelled", task + " was still there");
     }
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -459,6 +459,9 @@
       case "outage" -> state.outage(Double.parseDouble(words[2]));
       case "refuse" -> state.refuse(hostOf(words[2]), Double.parseDouble(words[3]));
       case "mute" -> state.mute(hostOf(words[2]), Double.parseDouble(words[3]));
+      case "hold-watches" -> state.holdWatches(hostOf(words[2]), Double.parseDouble(words[3]));
+      case "late-writes" ->
+          state.lateWrites(Double.parseDouble(words[2]), Double.parseDouble(words[3]));
       case "compact" -> state.compact();
       case "fall" -> fall(limits.next().get());
       case "limits" -> fall(limits(fields(words, 2), java.util.Optional.empty()));
@@ -593,6 +596,7 @@
         }
       }
       case "granted" -> atMost(line, (int) state.grantedAfter(Double.parseDouble(words[2])), limit);
+      case "gone" -> atMost(line, rules.longestGone(), limit);
       case "refusals" -> atMost(line, cloud.refusals(), Double.parseDouble(words[2]));
       case "unfit" -> atMost(line, state.unfit(), Double.parseDouble(words[2]));
       case "refused" -> atMost(line, state.refused(), Double.parseDouble(words[2]));
--- a/src/test/java/org/mulleinshift/sim/SimState.java
+++ b/src/test/java/org/mulleinshift/sim/SimState.java
@@ -32,7 +32,12 @@
   }
 
   private record Watch(
-      String node, String prefix, long from, double end, Consumer<HttpReply> reply) {}
+      String node,
+      String prefix,
+      long from,
+      double end,
+      boolean waits,
+      Consumer<HttpReply> reply) {}
 
   private static final int KEPT_CHANGES = 10_000;
 
@@ -45,6 +50,9 @@
   private final List<Watch> watches = new ArrayList<>();
   private final Map<String, Double> refusedUntil = new HashMap<>();
   private final Map<String, Double> mutedUntil = new HashMap<>();
+  private final Map<String, Double> watchesHeldUntil = new HashMap<>();
+  private double lateWritesUntil;
+  private double lateWritesShare;
   private int valueBytes;
   private int txnOps;
   private double outageUntil;
@@ -123,6 +131,17 @@
     mutedUntil.put(node, world.seconds() + seconds);
   }
 
+  /** What the node's open watches would bring is held back; all its other requests are answered. */
+  void holdWatches(String node, double seconds) {
+    watchesHeldUntil.put(node, world.seconds() + seconds);
+  }
+
+  /** That share of transactions gets no answer and is carried out 2 to 12 s later. */
+  void lateWrites(double share, double seconds) {
+    lateWritesShare = share;
+    lateWritesUntil = world.seconds() + seconds;
+  }
+
   /** Forgets the history, so that open watches must read again. */
   void compact() {
     forgottenChanges = epoch;
@@ -224,6 +243,12 @@
       watch(node, request.path(), reply);
       return;
     }
+    if (request.path().equals("/commit")
+        && world.seconds() < lateWritesUntil
+        && world.random() < lateWritesShare) {
+      world.after(2 + 10 * world.random(), () -> carryOut(request));
+      return;
+    }
     HttpReply found;
     try {
       found = answer(request);
@@ -237,6 +262,15 @@
     }
   }
 
+  /** Late, and nobody hears what comes of it. */
+  private void carryOut(HttpRequest request) {
+    try {
+      commit(json.readTree(request.body().orElse("{}")));
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private HttpReply answer(HttpRequest request) throws IOException {
     String path = request.path();
     if (path.startsWith("/keys/")) {
@@ -454,7 +488,8 @@
       return;
     }
     double wait = Double.parseDouble(query.getOrDefault("hold_ms", "0")) / 1000;
-    watches.add(new Watch(node, query.get("starts"), from, world.seconds() + wait, reply));
+    watches.add(
+        new Watch(node, query.get("starts"), from, world.seconds() + wait, wait > 0, reply));
     wakeWatches();
   }
 
@@ -462,7 +497,9 @@
     List<Watch> ready = new ArrayList<>();
     for (Watch watch : watches) {
       boolean due = world.seconds() >= watch.end() || !news(watch).isEmpty();
-      if (due && !unavailable(watch.node())) {
+      boolean held =
+          watch.waits() && world.seconds() < watchesHeldUntil.getOrDefault(watch.node(), 0.0);
+      if (due && !held && !unavailable(watch.node())) {
         ready.add(watch);
       }
     }
