--- a/src/main/java/org/mulleinshift/coordination/chains/Orphans.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/Orphans.java
@@ -18,6 +18,10 @@
 public final class Orphans {
   private final Map<JobId, List<JobId>> needs = new HashMap<>();
   private final Set<JobId> cancelled = new HashSet<>();
+
+  /** Ended as cancelled, and what needs them may not have. */
+  private final Set<JobId> over = new HashSet<>();
+
   private final Set<JobId> found = new HashSet<>();
   private boolean changed;
 
@@ -33,12 +37,18 @@
   }
 
   public void onNoLongerActive(JobId job) {
-    changed |= needs.remove(job) != null | cancelled.remove(job);
+    boolean fallen = contains(job) | cancelled.remove(job);
+    changed |= needs.remove(job) != null | fallen;
+    if (needs.isEmpty()) {
+      over.clear();
+    } else if (fallen) {
+      over.add(job);
+    }
   }
 
-  /** Worked out anew only after a change, and only while a cancelled job is not over. */
+  /** Worked out anew only after a change, and only while something cancelled is not over. */
   public boolean contains(JobId job) {
-    if (cancelled.isEmpty() || !needs.containsKey(job)) {
+    if (!needs.containsKey(job) || (cancelled.isEmpty() && over.isEmpty())) {
       return false;
     }
     if (changed) {
@@ -53,8 +63,10 @@
     needs.forEach(
         (job, all) ->
             all.forEach(need -> neededBy.computeIfAbsent(need, k -> new HashSet<>()).add(job)));
+    over.retainAll(neededBy.keySet());
     found.clear();
     Deque<JobId> open = new ArrayDeque<>(cancelled);
+    open.addAll(over);
     while (!open.isEmpty()) {
       for (JobId job : neededBy.getOrDefault(open.poll(), Set.of())) {
         if (found.add(job)) {
--- a/src/test/java/org/mulleinshift/sim/RandomScenario.java
+++ b/src/test/java/org/mulleinshift/sim/RandomScenario.java
@@ -102,6 +102,77 @@
     }
   }
 
+  /**
+   * The lines of a scenario in which two troubles meet, again and again, while long jobs are
+   * cancelled.
+   */
+  public static List<String> pairedLines(long seed) {
+    return new RandomScenario(seed).drawPaired();
+  }
+
+  private List<String> drawPaired() {
+    add("nodes %d", random.nextBoolean() ? 3 : 5);
+    add("state rps=%d writes=%d", 100, 30);
+    add("type small cpus=8 boot=8 price=1 a=8/4 b=8/4");
+    add("team t max=60");
+    add("team u max=0");
+    int jobs = 6 + random.nextInt(4);
+    for (int i = 1; i <= jobs; i++) {
+      drawLongJob("run-" + i, 3 + 60 * random.nextDouble());
+    }
+    add("at 4 chain run-c 3 1 tasks=2 cpus=1 run=12 due=none team=u");
+    add("at 70 swarm run-s 4 9 tasks=3 cpus=1 run=25 due=none spread=yes team=u");
+    for (double at = 30 + 10 * random.nextDouble(); at < LAST; at += 45) {
+      drawMeeting(at);
+      drawMeeting(at + 8 * random.nextDouble());
+    }
+    add("expect all-done run-c");
+    add("expect all-done run-s");
+    add("run %.0f", END);
+    return lines;
+  }
+
+  /** Half of them are cancelled while they run. */
+  private void drawLongJob(String id, double at) {
+    String form = "at %.1f job %s tasks=%d cpus=%s run=%d team=%s due=none fetch=%d %s";
+    String zones = one("spread=yes", "one_zone=yes", "spread=no", "spread=no");
+    int tasks = 2 + random.nextInt(14);
+    int run = 30 + random.nextInt(90);
+    add(form, at, id, tasks, one("1", "2", "4"), run, one("t", "u"), 1 + random.nextInt(4), zones);
+    if (random.nextBoolean()) {
+      add("at %.1f cancel %s", at + 20 + 90 * random.nextDouble(), id);
+    } else {
+      add("expect done %s by %.0f", id, END);
+    }
+  }
+
+  private void drawMeeting(double at) {
+    double length = 4 + 30 * random.nextDouble();
+    String who = node();
+    switch (random.nextInt(12)) {
+      case 0 ->
+          add("at %.1f state late-writes %.2f %.1f", at, 0.1 + 0.8 * random.nextDouble(), length);
+      case 1 -> add("at %.1f copies 2 40 %.1f", at, length);
+      case 2 -> add("at %.1f machine %s deaf %.1f", at, one("0", "3", "half"), length);
+      case 3 -> {
+        add("at %.1f cut %s state %.1f hold", at, who, length);
+        add("at %.1f cut %s node-* %.1f hold", at, who, length);
+      }
+      case 4 -> {
+        add("at %.1f state refuse leader %.1f", at, 6 + length / 2);
+        add("at %.1f state outage %.1f", at + 5 * random.nextDouble(), 34 + length / 2);
+      }
+      case 5 ->
+          add("at %.1f crash %s %s", at, one("leader", who, "all"), one("0.05", "0.2", "1", "3"));
+      case 6 -> add("at %.1f cut leader worker* %.1f %s", at, length, one("hold", "drop"));
+      case 7 -> add("at %.1f cut-one-way %s worker-orders %.1f hold", at, who, length / 2);
+      case 8 -> add("at %.1f cut-one-way worker-orders %s %.1f hold", at, who, length / 2);
+      case 9 -> add("at %.1f state late %.2f %.1f", at, 0.2 + random.nextDouble(), length);
+      case 10 -> add("at %.1f machine %d hang %.1f", at, random.nextInt(6), length / 2);
+      default -> add("at %.1f stall %s %.1f", at, one("leader", who), 2 + length / 3);
+    }
+  }
+
   private void drawLateTrouble() {
     double at = when();
     double length = 3 + 40 * random.nextDouble();
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -460,6 +460,7 @@
       case "refuse" -> state.refuse(hostOf(words[2]), Double.parseDouble(words[3]));
       case "mute" -> state.mute(hostOf(words[2]), Double.parseDouble(words[3]));
       case "hold-watches" -> state.holdWatches(hostOf(words[2]), Double.parseDouble(words[3]));
+      case "hold-news" -> state.holdNews(hostOf(words[2]), Double.parseDouble(words[3]));
       case "late-writes" ->
           state.lateWrites(Double.parseDouble(words[2]), Double.parseDouble(words[3]));
       case "compact" -> state.compact();
--- a/src/test/java/org/mulleinshift/sim/SimState.java
+++ b/src/test/java/org/mulleinshift/sim/SimState.java
@@ -51,6 +51,7 @@
   private final Map<String, Double> refusedUntil = new HashMap<>();
   private final Map<String, Double> mutedUntil = new HashMap<>();
   private final Map<String, Double> watchesHeldUntil = new HashMap<>();
+  private final Map<String, Double> newsHeldUntil = new HashMap<>();
   private double lateWritesUntil;
   private double lateWritesShare;
   private int valueBytes;
@@ -136,6 +137,12 @@
     watchesHeldUntil.put(node, world.seconds() + seconds);
   }
 
+  /** All that would tell the node of changes is held back. */
+  void holdNews(String node, double seconds) {
+    holdWatches(node, seconds);
+    newsHeldUntil.put(node, world.seconds() + seconds);
+  }
+
   /** That share of transactions gets no answer and is carried out 2 to 12 s later. */
   void lateWrites(double share, double seconds) {
     lateWritesShare = share;
@@ -497,8 +504,8 @@
     List<Watch> ready = new ArrayList<>();
     for (Watch watch : watches) {
       boolean due = world.seconds() >= watch.end() || !news(watch).isEmpty();
-      boolean held =
-          watch.waits() && world.seconds() < watchesHeldUntil.getOrDefault(watch.node(), 0.0);
+      Map<String, Double> heldUntil = watch.waits() ? watchesHeldUntil : newsHeldUntil;
+      boolean held = world.seconds() < heldUntil.getOrDefault(watch.node(), 0.0);
       if (due && !held && !unavailable(watch.node())) {
         ready.add(watch);
       }
