--- a/src/test/java/org/mulleinshift/sim/RuleBook.java
+++ b/src/test/java/org/mulleinshift/sim/RuleBook.java
@@ -104,6 +104,15 @@
         / (double) asked.size();
   }
 
+  /** Accepted jobs that nobody cancelled and that were never told done. */
+  int open(String prefix) {
+    return (int)
+        jobs.values().stream()
+            .filter(job -> job.id.startsWith(prefix) && job.accepted && !job.cancelAsked)
+            .filter(job -> job.toldDoneAt == null)
+            .count();
+  }
+
   List<String> broken() {
     return broken;
   }
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -602,6 +602,7 @@
       case "unfit" -> atMost(line, state.unfit(), Double.parseDouble(words[2]));
       case "refused" -> atMost(line, state.refused(), Double.parseDouble(words[2]));
       case "accepted" -> atLeast(line, rules.acceptedWithin(words[2], limit), 0.97);
+      case "open" -> atMost(line, rules.open(words[2]), limit);
       case "all-done" -> atLeast(line, rules.doneShare(words[2]), 1);
       case "moved" -> {
         Map<String, String> now = state.holders();
