--- a/src/test/java/org/mulleinshift/RandomScenarioTest.java
+++ b/src/test/java/org/mulleinshift/RandomScenarioTest.java
@@ -28,6 +28,12 @@
     play(RandomScenario.chainedLines(seed), seed);
   }
 
+  @ParameterizedTest(name = "meetings, seed {0}")
+  @MethodSource("seeds")
+  void keepsRulesWhereTwoTroublesMeet(long seed) throws SettingsException {
+    play(RandomScenario.pairedLines(seed), seed);
+  }
+
   @ParameterizedTest(name = "seed {0}")
   @MethodSource("seeds")
   void keepsRulesAndEndsJobs(long seed) throws SettingsException {
--- a/src/test/java/org/mulleinshift/sim/RandomScenario.java
+++ b/src/test/java/org/mulleinshift/sim/RandomScenario.java
@@ -127,7 +127,7 @@
       drawMeeting(at + 8 * random.nextDouble());
     }
     add("expect open run- max 0");
-    add("run %.0f", END);
+    add("run %.0f", END + 100);
     return lines;
   }
 
