--- a/src/test/java/org/mulleinshift/sim/Network.java
+++ b/src/test/java/org/mulleinshift/sim/Network.java
@@ -25,8 +25,12 @@
     }
   }
 
+  /** Messages between these take up to so much longer. */
+  private record SlowLink(Cut link, double by) {}
+
   private final World world;
   private final List<Cut> cuts = new ArrayList<>();
+  private final List<SlowLink> slow = new ArrayList<>();
 
   Network(World world) {
     this.world = world;
@@ -43,6 +47,12 @@
         });
   }
 
+  void slow(String one, String other, double by, double seconds) {
+    SlowLink link = new SlowLink(new Cut(one, other, true, Mode.HOLD, new ArrayList<>()), by);
+    slow.add(link);
+    world.after(seconds, () -> slow.remove(link));
+  }
+
   void deliver(String from, String to, Runnable arrival) {
     for (Cut cut : cuts) {
       if (cut.covers(from, to)) {
@@ -52,6 +62,10 @@
         return;
       }
     }
-    world.after(0.001 + 0.002 * world.random(), arrival);
+    double longer = 0;
+    for (SlowLink link : slow) {
+      longer += link.link().covers(from, to) ? link.by() * world.random() : 0;
+    }
+    world.after(0.001 + 0.002 * world.random() + longer, arrival);
   }
 }
--- a/src/test/java/org/mulleinshift/sim/RuleBook.java
+++ b/src/test/java/org/mulleinshift/sim/RuleBook.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,6 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** Watches the rules: it sees what truly runs and what users are truly told. */
 final class RuleBook {
@@ -31,6 +34,7 @@
     int starts;
     int polls404;
     double answeredAt;
+    Double overAt;
 
     TrueJob(String id, Map<String, String> fields) {
       this.id = id;
@@ -54,6 +58,9 @@
 
   private static final double FORGOTTEN_AFTER = 75;
 
+  /** By then a stored cancellation is known and its orders are there, where only links are slow. */
+  private static final double HEARD_WITHIN = 2;
+
   private record OnMachine(String machine, String zone) {}
 
   private final World world;
@@ -63,7 +70,11 @@
   private final Map<String, OnMachine> running = new HashMap<>();
   private final List<String> broken = new ArrayList<>();
   private int starts;
+  private int lateStarts;
   private double longestGone;
+  private Predicate<String> storedAsOver = job -> false;
+  private Consumer<TrueJob> onNews = job -> {};
+  private Consumer<TrueJob> onNearlyDone = job -> {};
 
   RuleBook(World world, Map<String, Double> teamLimits, double cancelSeconds) {
     this.world = world;
@@ -113,6 +124,41 @@
             .count();
   }
 
+  Collection<TrueJob> jobs() {
+    return jobs.values();
+  }
+
+  /** Starts more than two seconds after a user was told that the job is cancelled. */
+  int lateStarts() {
+    return lateStarts;
+  }
+
+  /** Knows of which jobs an end is stored: nothing of them may start any more, in no time. */
+  void storedAsOver(Predicate<String> ends) {
+    storedAsOver = ends;
+  }
+
+  /** Hears when a user is first told that a job is accepted, and that it is over. */
+  void onNews(Consumer<TrueJob> listener) {
+    onNews = listener;
+  }
+
+  /** Hears when the last task of a job is about to end. */
+  void onNearlyDone(Consumer<TrueJob> listener) {
+    onNearlyDone = listener;
+  }
+
+  double beforeEnd() {
+    return 0.006;
+  }
+
+  void nearlyDone(String task) {
+    TrueJob job = jobs.get(jobOf(task));
+    if (job.done.size() == job.tasks - 1) {
+      onNearlyDone.accept(job);
+    }
+  }
+
   List<String> broken() {
     return broken;
   }
@@ -121,7 +167,7 @@
     return starts;
   }
 
-  private void violated(String rule, String what) {
+  void violated(String rule, String what) {
     broken.add(String.format("%.3f %s: %s", world.seconds(), rule, what));
   }
 
@@ -150,6 +196,11 @@
     if (!placed) {
       violated("wrong_place", task + " on " + machine + " in " + zone);
     }
+    if (storedAsOver.test(job.id)) {
+      violated("over", task + " started on " + machine + " though its job's end is stored");
+    }
+    boolean late = job.cancelledAt != null && world.seconds() > job.cancelledAt + HEARD_WITHIN;
+    lateStarts += late ? 1 : 0;
     if (job.cancelledAt != null && world.seconds() > job.cancelledAt + cancelSeconds) {
       violated("ran_cancelled", task + " started on " + machine);
     }
@@ -165,7 +216,7 @@
     }
   }
 
-  private boolean zonesKept(TrueJob job, String zone) {
+  boolean zonesKept(TrueJob job, String zone) {
     if (!job.flag("one_zone", false) && !job.flag("spread", false)) {
       return true;
     }
@@ -182,6 +233,13 @@
     return !job.flag("spread", false) || here <= (job.tasks + 1) / 2;
   }
 
+  /** Whether the job's team may use so much more as one of its tasks takes. */
+  boolean underLimit(TrueJob job) {
+    String team = job.fields.getOrDefault("team", "t");
+    double limit = teamLimits.getOrDefault(team, 0.0);
+    return limit == 0 || used(team) + job.number("cpus", 1) <= limit + 1e-6;
+  }
+
   private double used(String team) {
     double used = 0;
     for (String task : running.keySet()) {
@@ -227,7 +285,7 @@
   }
 
   /** When a user was told first that a job which this one needs is cancelled; null: nobody was. */
-  private Double fallenAt(TrueJob job) {
+  Double fallenAt(TrueJob job) {
     Double first = null;
     Set<String> seen = new HashSet<>(job.awaits);
     Deque<String> open = new ArrayDeque<>(job.awaits);
@@ -257,15 +315,29 @@
     running.keySet().forEach(this::checkCancelled);
   }
 
+  Set<String> machinesOf(Collection<TrueJob> some) {
+    Set<String> machines = new HashSet<>();
+    running.forEach(
+        (task, where) -> {
+          if (some.contains(jobs.get(jobOf(task)))) {
+            machines.add(where.machine());
+          }
+        });
+    return machines;
+  }
+
   int runningTasks(String job) {
     return (int) running.keySet().stream().filter(task -> jobOf(task).equals(job)).count();
   }
 
-  /** What a user reads in an answer about a job. */
-  void told(String id, int status, String phase) {
+  /**
+   * What a user reads in an answer about a job. Several questions may be on their way: an answer
+   * may be no older than what was told before its question was sent.
+   */
+  void told(String id, double askedAt, int status, String phase) {
     TrueJob job = jobs.get(id);
     if (status == 404) {
-      if (job != null && job.accepted) {
+      if (job != null && job.acceptedAt != null && job.acceptedAt <= askedAt) {
         violated("forgotten", id + " got 404");
       }
       return;
@@ -279,15 +351,18 @@
     }
     job.accepted = true;
     job.answeredAt = world.seconds();
+    boolean news = job.acceptedAt == null;
     if (job.acceptedAt == null) {
       job.acceptedAt = world.seconds();
     }
-    boolean wasOver = job.told.equals("done") || job.told.equals("cancelled");
-    if (wasOver && !phase.equals(job.told)) {
-      violated("went_back", id + " from " + job.told + " to " + phase);
-    }
     Double fallen = fallenAt(job);
     boolean open = !phase.equals("done") && !phase.equals("cancelled");
+    if (job.overAt != null && !phase.equals(job.told)) {
+      if (!open || job.overAt <= askedAt) {
+        violated("went_back", id + " from " + job.told + " to " + phase);
+      }
+      return;
+    }
     if (open && fallen != null && world.seconds() > fallen + cancelSeconds) {
       violated("orphaned", id + " is called " + phase);
     }
@@ -304,6 +379,13 @@
       job.cancelledAt = world.seconds();
     }
     job.told = phase;
+    if (!open && job.overAt == null) {
+      job.overAt = world.seconds();
+      news = true;
+    }
+    if (news) {
+      onNews.accept(job);
+    }
   }
 
   /** A repeated submission of an accepted job was refused for good. */
--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -30,7 +30,23 @@
   /** What users do is no trouble. */
   private static final Set<String> CALM =
       Set.of(
-          "job", "swarm", "chain", "star", "fan", "resubmit", "cancel", "poll", "ask", "remember");
+          "job",
+          "swarm",
+          "chain",
+          "star",
+          "fan",
+          "resubmit",
+          "cancel",
+          "poll",
+          "ask",
+          "remember",
+          "close-looks",
+          "odd-requests",
+          "cancel-at-end");
+
+  private static final int MOST_HUNG = 8;
+  private static final double CANCEL_NOW_WITHIN = 0.2;
+  private static final double AROUND_END = 0.012;
 
   private static final InetSocketAddress STATE = new InetSocketAddress("10.2.0.1", 2379);
   private static final InetSocketAddress CLOUD = new InetSocketAddress("10.2.0.2", 8443);
@@ -62,6 +78,11 @@
   private double copiesUntil;
   private double copiesFrom;
   private double copiesTo;
+  private final KeptCopies keptCopies;
+  private final CloseLooks looks;
+  private final OddRequests odd;
+  private double cancelAtEndShare;
+  private double cancelAtEndUntil;
 
   private Scenario(List<String> lines, long seed) {
     for (String line : lines) {
@@ -80,6 +101,13 @@
             world, now.valueBytes(), now.txnOps(), now.requestsPerSecond(), now.writesPerSecond());
     rules = new RuleBook(world, teamLimits, cancelSeconds);
     cloud = new SimCloud(world, 4, this::startWorker);
+    keptCopies = new KeptCopies(world, nodes);
+    state.onTerm(keptCopies::release);
+    looks = new CloseLooks(world, rules, users, nodes, this::sendTo);
+    rules.onNews(looks::news);
+    rules.storedAsOver(state::isOver);
+    odd = new OddRequests(world, rules, users, this::send);
+    rules.onNearlyDone(this::nearlyDone);
     for (String[] words : actions) {
       if (words[0].equals("type")) {
         addType(words);
@@ -211,6 +239,7 @@
             Double.parseDouble(words[1]), () -> act(Arrays.copyOfRange(words, 2, words.length)));
       }
     }
+    world.at(calmSince(), new LeftWaiting(world, rules, cloud, state::isRewritten)::start);
     world.runUntil(end);
     rules.end(calmSince());
     failures.addAll(rules.broken());
@@ -302,6 +331,15 @@
         copiesFrom = Double.parseDouble(words[1]);
         copiesTo = Double.parseDouble(words[2]);
       }
+      case "copies-kept" -> keptCopies.during(Double.parseDouble(words[1]));
+      case "close-looks" ->
+          looks.during(Double.parseDouble(words[1]), Double.parseDouble(words[2]));
+      case "odd-requests" -> odd.during(Double.parseDouble(words[1]));
+      case "cancel-now" -> cancelNow(words);
+      case "cancel-at-end" -> {
+        cancelAtEndShare = Double.parseDouble(words[1]);
+        cancelAtEndUntil = world.seconds() + Double.parseDouble(words[2]);
+      }
       case "stall" -> node(words[1]).stall(Double.parseDouble(words[2]));
       case "cut", "cut-one-way" ->
           network.cut(
@@ -310,6 +348,12 @@
               words[0].equals("cut"),
               Network.Mode.valueOf(words[4].toUpperCase()),
               Double.parseDouble(words[3]));
+      case "slow-link" ->
+          network.slow(
+              hostOf(words[1]),
+              hostOf(words[2]),
+              Double.parseDouble(words[3]),
+              Double.parseDouble(words[4]));
       case "remember" -> holders.putAll(state.holders());
       case "heap" -> heap(words);
       case "state" -> actOnState(words);
@@ -409,6 +453,9 @@
     SimUser user = new SimUser(world, rules, this::send, job);
     users.put(job.id, user);
     user.submit();
+    if (job.fields.containsKey("cancel_after") && world.random() < job.number("cancel_share", 1)) {
+      world.after(job.number("cancel_after", 0), user::cancel);
+    }
   }
 
   private void resubmit(String[] words) {
@@ -417,6 +464,31 @@
     users.get(words[1]).resubmit(body);
   }
 
+  /** {@code cancel-now N [HANG]}: so many running jobs; up to eight of their machines hang. */
+  private void cancelNow(String[] words) {
+    List<RuleBook.TrueJob> hit =
+        rules.jobs().stream()
+            .filter(job -> !job.cancelAsked && rules.runningTasks(job.id) > 0)
+            .limit(Integer.parseInt(words[1]))
+            .toList();
+    if (words.length > 2) {
+      Set<String> machines = rules.machinesOf(hit);
+      cloud.up().stream()
+          .filter(machine -> machines.contains(machine.name))
+          .limit(MOST_HUNG)
+          .forEach(machine -> machine.worker.hang(Double.parseDouble(words[2])));
+    }
+    hit.forEach(job -> world.after(CANCEL_NOW_WITHIN * world.random(), users.get(job.id)::cancel));
+  }
+
+  /** A few ms before, with or after the end of a job's last task. */
+  private void nearlyDone(RuleBook.TrueJob job) {
+    boolean hit = world.seconds() < cancelAtEndUntil && world.random() < cancelAtEndShare;
+    if (hit && !job.cancelAsked) {
+      world.after(AROUND_END * world.random(), users.get(job.id)::cancel);
+    }
+  }
+
   private void crash(String[] words) {
     double pause = words.length > 2 ? Double.parseDouble(words[2]) : RESTART_SECONDS;
     List<SimNode> hit = words[1].equals("all") ? nodes : List.of(node(words[1]));
@@ -462,7 +534,11 @@
       case "hold-watches" -> state.holdWatches(hostOf(words[2]), Double.parseDouble(words[3]));
       case "hold-news" -> state.holdNews(hostOf(words[2]), Double.parseDouble(words[3]));
       case "late-writes" ->
-          state.lateWrites(Double.parseDouble(words[2]), Double.parseDouble(words[3]));
+          state.lateWrites(
+              Double.parseDouble(words[2]), Double.parseDouble(words[3]), wordOr(words, 4, ""));
+      case "lost-answers" ->
+          state.lostAnswers(
+              Double.parseDouble(words[2]), Double.parseDouble(words[3]), wordOr(words, 4, ""));
       case "compact" -> state.compact();
       case "fall" -> fall(limits.next().get());
       case "limits" -> fall(limits(fields(words, 2), java.util.Optional.empty()));
@@ -473,6 +549,10 @@
     }
   }
 
+  private static String wordOr(String[] words, int index, String standard) {
+    return words.length > index ? words[index] : standard;
+  }
+
   private void fall(PlatformSettings.State next) {
     state.limits(
         next.valueBytes(), next.txnOps(), next.requestsPerSecond(), next.writesPerSecond());
@@ -509,6 +589,7 @@
         case "sick" -> machine.worker.sick();
         case "reboot" -> machine.worker.reboot();
         case "deaf" -> machine.worker.deaf(Double.parseDouble(words[3]), words.length > 4);
+        case "mute" -> machine.worker.mute(Double.parseDouble(words[3]));
         case "slow" -> machine.worker.slow(Double.parseDouble(words[3]));
         case "recall" -> {
           double notice = Double.parseDouble(words[3]);
@@ -531,7 +612,11 @@
       reply.accept(new HttpReply(0, ""));
       return;
     }
-    SimNode node = alive.get((int) (world.random() * alive.size()));
+    sendTo(alive.get((int) (world.random() * alive.size())), method, path, body, reply);
+  }
+
+  private void sendTo(
+      SimNode node, String method, String path, String body, Consumer<HttpReply> reply) {
     network.deliver(
         "users",
         node.label(),
@@ -597,6 +682,7 @@
         }
       }
       case "granted" -> atMost(line, (int) state.grantedAfter(Double.parseDouble(words[2])), limit);
+      case "late-starts" -> atMost(line, rules.lateStarts(), Double.parseDouble(words[2]));
       case "gone" -> atMost(line, rules.longestGone(), limit);
       case "refusals" -> atMost(line, cloud.refusals(), Double.parseDouble(words[2]));
       case "unfit" -> atMost(line, state.unfit(), Double.parseDouble(words[2]));
@@ -725,6 +811,7 @@
 
     @Override
     public void checkin(SimWorker worker, int node, String body, Consumer<HttpReply> reply) {
+      keptCopies.report(worker.name(), body);
       if (world.seconds() < copiesUntil) {
         // A copy that comes late, to any controller; nobody hears what is answered.
         double late = copiesFrom + (copiesTo - copiesFrom) * world.random();
--- a/src/test/java/org/mulleinshift/sim/SimState.java
+++ b/src/test/java/org/mulleinshift/sim/SimState.java
@@ -41,6 +41,32 @@
 
   private static final int KEPT_CHANGES = 10_000;
 
+  private static final Map<String, String> KINDS =
+      Map.of(
+          "c/g",
+          "grant",
+          "c/n",
+          "node",
+          "c/b",
+          "block",
+          "p",
+          "delegation",
+          "r",
+          "rental",
+          "t",
+          "end");
+
+  /** No answer to a share of the transactions of a kind, or of any kind. */
+  private record Silence(double share, double until, String kind) {
+    static final Silence NONE = new Silence(0, 0, "");
+
+    boolean covers(World world, JsonNode body) {
+      return world.seconds() < until
+          && (kind.isEmpty() || kindsOf(body).contains(kind))
+          && world.random() < share;
+    }
+  }
+
   private final World world;
   private final ObjectMapper json = new ObjectMapper();
   private final Map<String, JsonNode> rewritten = new java.util.HashMap<>();
@@ -52,8 +78,9 @@
   private final Map<String, Double> mutedUntil = new HashMap<>();
   private final Map<String, Double> watchesHeldUntil = new HashMap<>();
   private final Map<String, Double> newsHeldUntil = new HashMap<>();
-  private double lateWritesUntil;
-  private double lateWritesShare;
+  private Silence lateWrites = Silence.NONE;
+  private Silence lostAnswers = Silence.NONE;
+  private Runnable onTerm = () -> {};
   private int valueBytes;
   private int txnOps;
   private double outageUntil;
@@ -143,10 +170,50 @@
     newsHeldUntil.put(node, world.seconds() + seconds);
   }
 
-  /** That share of transactions gets no answer and is carried out 2 to 12 s later. */
-  void lateWrites(double share, double seconds) {
-    lateWritesShare = share;
-    lateWritesUntil = world.seconds() + seconds;
+  /** That share of transactions of a kind gets no answer and is carried out 2 to 12 s later. */
+  void lateWrites(double share, double seconds, String kind) {
+    lateWrites = new Silence(share, world.seconds() + seconds, kind);
+  }
+
+  /** That share of transactions of a kind is carried out at once, and only the answer is lost. */
+  void lostAnswers(double share, double seconds, String kind) {
+    lostAnswers = new Silence(share, world.seconds() + seconds, kind);
+  }
+
+  /** Hears of each term that begins. */
+  void onTerm(Runnable listener) {
+    onTerm = listener;
+  }
+
+  /** Whether another build has rewritten something of the job. */
+  boolean isRewritten(String job) {
+    return rewritten.keySet().stream().anyMatch(key -> List.of(key.split("/")).contains(job));
+  }
+
+  /** Whether the job's end is stored. */
+  boolean isOver(String job) {
+    return keys.containsKey("t/" + job);
+  }
+
+  /** What a transaction is for, by the keys that it writes. */
+  private static Set<String> kindsOf(JsonNode body) {
+    Set<String> kinds = new HashSet<>();
+    boolean first = body.path("guards").findValuesAsText("k").stream().anyMatch(SimState::ended);
+    for (JsonNode write : body.path("writes")) {
+      String key = write.path(write.has("set") ? "set" : "delete").asText();
+      if (key.startsWith("a/")) {
+        kinds.add(write.has("delete") ? "end" : first ? "acceptance" : "cancellation");
+      } else if (key.equals("c/leader")) {
+        kinds.add("leader");
+      } else if (KINDS.containsKey(key.replaceAll("^(c/.|.)/.*", "$1"))) {
+        kinds.add(KINDS.get(key.replaceAll("^(c/.|.)/.*", "$1")));
+      }
+    }
+    return kinds;
+  }
+
+  private static boolean ended(String key) {
+    return key.startsWith("t/");
   }
 
   /** Forgets the history, so that open watches must read again. */
@@ -250,34 +317,28 @@
       watch(node, request.path(), reply);
       return;
     }
-    if (request.path().equals("/commit")
-        && world.seconds() < lateWritesUntil
-        && world.random() < lateWritesShare) {
-      world.after(2 + 10 * world.random(), () -> carryOut(request));
-      return;
-    }
     HttpReply found;
+    boolean lost = false;
     try {
+      if (request.path().equals("/commit")) {
+        JsonNode body = json.readTree(request.body().orElse("{}"));
+        if (lateWrites.covers(world, body)) {
+          world.after(2 + 10 * world.random(), () -> commit(body));
+          return;
+        }
+        lost = lostAnswers.covers(world, body);
+      }
       found = answer(request);
     } catch (IOException e) {
       found = new HttpReply(400, "{}");
     }
     boolean muted =
         world.seconds() < mutedUntil.getOrDefault(node, 0.0) && request.path().equals("/commit");
-    if (!muted) {
+    if (!muted && !lost) {
       reply.accept(found);
     }
   }
 
-  /** Late, and nobody hears what comes of it. */
-  private void carryOut(HttpRequest request) {
-    try {
-      commit(json.readTree(request.body().orElse("{}")));
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
   private HttpReply answer(HttpRequest request) throws IOException {
     String path = request.path();
     if (path.startsWith("/keys/")) {
@@ -391,6 +452,7 @@
       keys.put(key, new Entry(write.get("value"), epoch, hold));
       if (key.equals("c/leader")) {
         ledSince.add(world.seconds());
+        onTerm.run();
       } else if (key.startsWith("c/g/")) {
         granted.add(world.seconds());
       } else if (key.startsWith("p/")) {
--- a/src/test/java/org/mulleinshift/sim/SimUser.java
+++ b/src/test/java/org/mulleinshift/sim/SimUser.java
@@ -17,6 +17,11 @@
     void request(String method, String path, String body, Consumer<HttpReply> reply);
   }
 
+  /** The way to one node. */
+  interface Way {
+    void request(SimNode node, String method, String path, String body, Consumer<HttpReply> reply);
+  }
+
   private static final double POLL_SECONDS = 5;
   private static final double ANSWER_SECONDS = 2;
   private static final double GIVE_UP_SECONDS = 60;
@@ -83,18 +88,18 @@
   }
 
   void resubmit(String body) {
-    nodes.request(
-        "POST",
-        "/v2/runs",
-        body,
-        reply -> {
-          statuses.add(reply.status());
-          if (reply.status() == 400 || reply.status() == 422) {
-            rules.refused(job.id, reply.status());
-          } else {
-            hear(reply, true);
-          }
-        });
+    double asked = world.seconds();
+    nodes.request("POST", "/v2/runs", body, reply -> hearAgain(reply, asked));
+  }
+
+  /** An answer to a repeated submission of the job, which was accepted. */
+  void hearAgain(HttpReply reply, double asked) {
+    statuses.add(reply.status());
+    if (reply.status() == 400 || reply.status() == 422) {
+      rules.refused(job.id, reply.status());
+    } else {
+      hear(reply, asked);
+    }
   }
 
   /** Asks so many times as often. */
@@ -109,7 +114,7 @@
 
   private void attempt(String method, String path, String body, double since) {
     boolean[] answered = new boolean[1];
-    boolean knewAccepted = job.accepted;
+    double asked = world.seconds();
     Runnable again =
         () -> {
           if (world.seconds() - since < GIVE_UP_SECONDS) {
@@ -126,7 +131,7 @@
           }
           answered[0] = true;
           statuses.add(reply.status());
-          hear(reply, knewAccepted);
+          hear(reply, asked);
           boolean certain = reply.status() == 400 || reply.status() == 422;
           if (reply.status() == 200 || reply.status() == 201) {
             startPolling();
@@ -154,6 +159,7 @@
   /** One poll at a time; a response that takes longer than the user waits is not heard. */
   private void poll() {
     boolean[] over = new boolean[1];
+    double asked = world.seconds();
     Runnable next =
         () -> {
           over[0] = true;
@@ -166,7 +172,7 @@
         "",
         reply -> {
           if (!over[0]) {
-            hear(reply, true);
+            hear(reply, asked);
             next.run();
           }
         });
@@ -180,13 +186,11 @@
   }
 
   /**
-   * @param knewAccepted of a job that was not, when the question was sent, a 404 is true, however
-   *     late it comes
+   * An answer about the job.
+   *
+   * @param asked when the question was sent
    */
-  private void hear(HttpReply reply, boolean knewAccepted) {
-    if (reply.status() == 404 && !knewAccepted) {
-      return;
-    }
+  void hear(HttpReply reply, double asked) {
     String phase = "";
     try {
       JsonNode node = json.readTree(reply.body().isEmpty() ? "{}" : reply.body());
@@ -194,6 +198,6 @@
     } catch (IOException e) {
       phase = "unreadable";
     }
-    rules.told(job.id, reply.status(), phase);
+    rules.told(job.id, asked, reply.status(), phase);
   }
 }
--- a/src/test/java/org/mulleinshift/sim/SimWorker.java
+++ b/src/test/java/org/mulleinshift/sim/SimWorker.java
@@ -54,6 +54,7 @@
   private double hangUntil;
   private double deafUntil;
   private boolean dropsAnswers;
+  private double muteUntil;
   private double slowFactor = 1;
   private boolean sick;
   private boolean gone;
@@ -112,6 +113,17 @@
     dropsAnswers = stays;
   }
 
+  /** It reaches no controller, while direct commands reach it and are answered. */
+  void mute(double seconds) {
+    muteUntil = world.seconds() + seconds;
+  }
+
+  /** Whether a task of so many processors would run here. */
+  boolean hasRoom(double cpus) {
+    boolean well = !gone && !sick && recallAt == null && world.seconds() >= hangUntil;
+    return well && used() + cpus <= machine.cpus + 1e-6;
+  }
+
   /** Back at once under the same name, and knows nothing of what was before. */
   void reboot() {
     pieces.values().forEach(piece -> rules.left(piece.task, machine.name));
@@ -235,21 +247,10 @@
     double sent = lastSent;
     long sentSession = session;
     long mine = ++reportNumber;
-    nodes.checkin(
-        this,
-        node,
-        body(),
-        reply ->
-            awake(
-                () -> {
-                  boolean deaf = world.seconds() < deafUntil;
-                  if (mine == reportNumber && inFlight && !(deaf && !dropsAnswers)) {
-                    inFlight = false;
-                    if (!deaf) {
-                      answered(reply, sent, sentSession);
-                    }
-                  }
-                }));
+    String report = body();
+    if (world.seconds() >= muteUntil) {
+      nodes.checkin(this, node, report, reply -> awake(() -> hear(reply, mine, sent, sentSession)));
+    }
     world.after(
         ANSWER_SECONDS,
         () ->
@@ -262,6 +263,16 @@
                 }));
   }
 
+  private void hear(HttpReply reply, long mine, double sent, long sentSession) {
+    boolean deaf = world.seconds() < deafUntil;
+    if (mine == reportNumber && inFlight && !(deaf && !dropsAnswers)) {
+      inFlight = false;
+      if (!deaf) {
+        answered(reply, sent, sentSession);
+      }
+    }
+  }
+
   private void tryNext() {
     node = (node + 1) % nodes.count();
     world.after(1, () -> awake(this::report));
@@ -400,6 +411,13 @@
     }
     boolean fails = sick || job.flag("fails", false);
     double run = fails ? 0.5 : job.number("run", 10) * slowFactor;
+    world.after(
+        run - rules.beforeEnd(),
+        () -> {
+          if (live(piece, mine) && piece.phase.equals("running")) {
+            rules.nearlyDone(piece.task);
+          }
+        });
     world.after(
         run,
         () ->
