Holders raise the token when a start may be in flight; answers take the newest that is known; no job for a zone without its types

An order to start that goes by the answer to a report could be overtaken by a direct order to stop: the task counted as never started, and the answer could still start it. A stop of a task that is only starting now goes under a higher token, so that the answer is dropped. Every answer about a job passes Frontend.newest: never accepted, accepted, over; in doubt 503.

--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -284,10 +284,20 @@
   }
 
   private void requestStop(HeldTask task) {
-    if (!task.stopRequested()) {
-      task.requestStop();
-      task.machine().map(machines::get).ifPresent(machine -> machine.ordersWaiting(true));
+    if (task.stopRequested()) {
+      return;
+    }
+    task.requestStop();
+    HeldMachine machine = task.machine().map(machines::get).orElse(null);
+    if (machine == null) {
+      return;
+    }
+    if (task.phase() == TaskPhase.STARTING) {
+      // The order to start it may be on its way in an answer to a report, and the order to stop it
+      // may come first: under a higher token the worker drops the other.
+      machine.raiseToken(loop.now());
     }
+    machine.ordersWaiting(true);
   }
 
   /** A job was cancelled: its tasks stop without waiting for the leader. */
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -28,6 +28,7 @@
 import org.mulleinshift.protocol.JobPhase;
 import org.mulleinshift.protocol.JobSpec;
 import org.mulleinshift.protocol.Json;
+import org.mulleinshift.protocol.MachineType;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Guard;
@@ -173,7 +174,8 @@
     }
     boolean fits =
         catalog.types().values().stream()
-            .anyMatch(type -> spec.allowsType(type.id()) && spec.perTask().fitsInto(type.size()));
+            .filter(type -> spec.allowsType(type.id()) && spec.perTask().fitsInto(type.size()))
+            .anyMatch(type -> offered(type, spec));
     if (!fits) {
       return Optional.of("a task fits no allowed machine type");
     }
@@ -184,6 +186,11 @@
     return over ? Optional.of("more than the team's limit") : Optional.empty();
   }
 
+  /** Whether the type is to be had in a zone that the job allows, as far as the catalog says. */
+  private static boolean offered(MachineType type, JobSpec spec) {
+    return type.zones().isEmpty() || type.zones().stream().anyMatch(spec::allowsZone);
+  }
+
   /** The outcome of an accepted job wins over a changed retry. */
   private void refuseUnlessKnown(String body, int status, String why, Responder responder) {
     Optional<JobId> id = jobIdOf(body);
@@ -194,7 +201,7 @@
     lookUp(
         id.get(),
         standing -> {
-          if (standing instanceof Standing.Never) {
+          if (newest(id.get(), standing) instanceof Standing.Never) {
             responder.respond(status, JobCodec.error(why));
           } else {
             answer(id.get(), standing, responder);
@@ -249,7 +256,7 @@
         StateStore.Urgency.PROMPT,
         outcome -> {
           if (outcome instanceof Outcome.Committed) {
-            respond(spec.id(), 201, JobPhase.PENDING, responder);
+            accepted(spec.id(), responder);
           } else if (outcome instanceof Outcome.Conflict) {
             lookUp(spec.id(), standing -> answer(spec.id(), standing, responder));
           } else if (outcome instanceof Outcome.Busy && tries > 1) {
@@ -262,6 +269,16 @@
         });
   }
 
+  /** Another node may have told the job's user more before the answer to the commit came. */
+  private void accepted(JobId id, Responder responder) {
+    Standing now = newest(id, new Standing.Unknown());
+    if (now instanceof Standing.Unknown) {
+      respond(id, 201, JobPhase.PENDING, responder);
+    } else {
+      answer(id, now, responder);
+    }
+  }
+
   void poll(JobId id, Responder responder) {
     if (!JobCodec.isJobId(id.value())) {
       responder.respond(404, JobCodec.error("no such job"));
@@ -303,7 +320,7 @@
   }
 
   private void answerPoll(JobId id, Standing standing, Responder responder) {
-    if (standing instanceof Standing.Never) {
+    if (newest(id, standing) instanceof Standing.Never) {
       responder.respond(404, JobCodec.error("no such job"));
     } else {
       answer(id, standing, responder);
@@ -389,7 +406,26 @@
     return answer instanceof Answer.Absent<Item> ? new Standing.Never() : new Standing.Unknown();
   }
 
-  private void answer(JobId id, Standing standing, Responder responder) {
+  /**
+   * The newer of what was read and what this node knows at the moment of answering: never accepted,
+   * then accepted, then cancelled or done. All answers about a job pass here. What could not be
+   * read stays unknown, unless the job is over: this node's view of it may be old.
+   */
+  private Standing newest(JobId id, Standing read) {
+    JobPhase known = ended.get(id);
+    if (known != null) {
+      return new Standing.Ended(known);
+    }
+    if (read instanceof Standing.Ended) {
+      return read;
+    }
+    Standing seen = active.get(id);
+    boolean cancelled = seen instanceof Standing.Active job && job.job().cancelled();
+    return seen != null && (cancelled || read instanceof Standing.Never) ? seen : read;
+  }
+
+  private void answer(JobId id, Standing read, Responder responder) {
+    Standing standing = newest(id, read);
     if (standing instanceof Standing.Active active) {
       if (active.job().cancelled()) {
         ended.put(id, JobPhase.CANCELLED);
