--- a/src/test/java/org/mulleinshift/coordination/membership/VirtualLoop.java
+++ b/src/test/java/org/mulleinshift/coordination/membership/VirtualLoop.java
@@ -8,7 +8,7 @@
 import org.mulleinshift.transport.SteadyTime;
 
 /** A loop in virtual time. */
-final class VirtualLoop implements EventLoop {
+public final class VirtualLoop implements EventLoop {
   private record Step(long at, long order, Runnable run) {}
 
   private final PriorityQueue<Step> steps =
@@ -16,7 +16,7 @@
   private long now;
   private long order;
 
-  void runFor(double seconds) {
+  public void runFor(double seconds) {
     long end = now + (long) (seconds * 1e9);
     while (!steps.isEmpty() && steps.peek().at <= end) {
       Step next = steps.poll();
