A scale run: real controllers on loopback beside hollow workers

Need: the operators plan 24,000 workers; nothing showed where a controller bends on real processes. Change: ScaleRun starts the packaged program as the deploy file says, stand-ins of state service, cloud and users in real time, and hollow workers that speak the whole protocol; rule book over all of them, troubles at times, figures from the kernel's accounts, one table over several sizes. A small run with a killed leader and one with deliberately wrong controllers are part of verify. The rule book keeps what teams use as a sum, shared by cells; the cloud's stand-in pages its list.

--- /dev/null
+++ b/src/test/java/org/mulleinshift/ScaleRunIT.java
@@ -0,0 +1,29 @@
+package org.mulleinshift;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.mulleinshift.sim.ScaleRun;
+
+/** Small scale runs of the packaged program: what they check does not depend on the speed. */
+class ScaleRunIT {
+  private static final String[] SMALL = {
+    "--workers=100", "--starts=30", "--teams=5", "--run-s=6", "--seconds=14", "--warmup-s=4"
+  };
+
+  @Test
+  void noRuleIsBrokenThoughTheLeaderIsKilled() throws IOException, InterruptedException {
+    assertEquals(List.of(), ScaleRun.brokenBy(SMALL, "--trouble=6:kill-leader"));
+  }
+
+  @Test
+  void controllersThatAllowTooMuchAreCaught() throws IOException, InterruptedException {
+    List<String> broken =
+        ScaleRun.brokenBy(
+            SMALL, "--wrong-limits=100", "--teams=1", "--team-limit=50", "--starts=60");
+    assertTrue(broken.stream().anyMatch(line -> line.contains("quota")), "not caught: " + broken);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/ControllerProcess.java
@@ -0,0 +1,137 @@
+package org.mulleinshift.sim;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A controller as a real process, started as the deploy file says. */
+final class ControllerProcess {
+  private static final Path DEPLOY = Path.of("deploy/service.toml");
+  private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
+  private static final String SHIPPED_JAR = "target/mulleinshift.jar";
+
+  private final String label;
+  private final InetSocketAddress address;
+  private final List<String> command;
+  private final Path log;
+  private final List<ProcessFigures> ended = new ArrayList<>();
+  private volatile Process process;
+  private volatile boolean ready;
+  private volatile boolean killed;
+  private int endedByItself;
+
+  ControllerProcess(
+      String label, InetSocketAddress address, ScaleOptions options, Path settings, Path folder) {
+    this.label = label;
+    this.address = address;
+    this.command = command(options, settings);
+    this.log = folder.resolve(label + ".log");
+  }
+
+  private static List<String> command(ScaleOptions options, Path settings) {
+    List<String> command = new ArrayList<>();
+    for (String word : deployedCommand().split(" ")) {
+      if (word.equals("-jar")) {
+        command.addAll(options.jvm);
+      }
+      command.add(word.equals(SHIPPED_JAR) ? options.jar.toString() : word);
+    }
+    command.add(settings.toString());
+    if (options.tunables != null) {
+      command.add("--tunables");
+      command.add(options.tunables.toString());
+    }
+    return command;
+  }
+
+  private static String deployedCommand() {
+    try {
+      Matcher run = RUN.matcher(Files.readString(DEPLOY));
+      if (run.find()) {
+        return run.group(1);
+      }
+      throw new IllegalStateException(DEPLOY + " names no command");
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  String label() {
+    return label;
+  }
+
+  InetSocketAddress address() {
+    return address;
+  }
+
+  Path log() {
+    return log;
+  }
+
+  void start() {
+    try {
+      ProcessBuilder builder = new ProcessBuilder(command);
+      builder.environment().put("LOG_LEVEL", "info");
+      builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+      builder.redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()));
+      process = builder.start();
+      killed = false;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Ends the process with no signal that it could hear. */
+  void kill() {
+    ready = false;
+    killed = true;
+    ended.add(ProcessFigures.of(process.pid()));
+    process.destroyForcibly();
+    try {
+      process.waitFor(10, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Starts the process anew if it ended by itself, which a well one never does. */
+  void watch() {
+    if (process != null && !killed && !process.isAlive()) {
+      ready = false;
+      endedByItself++;
+      start();
+    }
+  }
+
+  boolean alive() {
+    return process != null && process.isAlive();
+  }
+
+  int endedByItself() {
+    return endedByItself;
+  }
+
+  boolean ready() {
+    return ready;
+  }
+
+  void ready(boolean next) {
+    ready = next && alive();
+  }
+
+  /** Of the process that runs now and of those that were killed before it. */
+  ProcessFigures figures() {
+    ProcessFigures sum = alive() ? ProcessFigures.of(process.pid()) : ProcessFigures.NONE;
+    for (ProcessFigures earlier : ended) {
+      sum = sum.plus(earlier);
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/HttpConnection.java
@@ -0,0 +1,159 @@
+package org.mulleinshift.sim;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.mulleinshift.transport.HttpReply;
+
+/**
+ * One client's connection, kept open as long as it asks the same address. A question takes the
+ * place of an earlier one that was not answered: the client has given that up.
+ */
+final class HttpConnection {
+  private static final int LONGEST_BODY = 4 << 20;
+  private static final int CONNECT_MILLIS = 2000;
+
+  private final EventLoopGroup threads;
+  private final ByteCounter counter;
+  private Channel channel;
+  private InetSocketAddress target;
+  private Consumer<HttpReply> waiting;
+
+  HttpConnection(EventLoopGroup threads, ByteCounter counter) {
+    this.threads = threads;
+    this.counter = counter;
+  }
+
+  /** Asks; {@link HttpReply#NONE} is the reply if the connection fails. */
+  synchronized void ask(
+      InetSocketAddress address,
+      String method,
+      String path,
+      String body,
+      Consumer<HttpReply> reply) {
+    boolean busy = waiting != null;
+    boolean usable = !busy && channel != null && channel.isActive() && address.equals(target);
+    if (!usable) {
+      closeChannel();
+    }
+    waiting = reply;
+    FullHttpRequest request = request(method, path, body);
+    if (usable) {
+      channel.writeAndFlush(request);
+    } else {
+      open(address, request);
+    }
+  }
+
+  private void open(InetSocketAddress address, FullHttpRequest request) {
+    target = address;
+    ChannelFuture opening =
+        new Bootstrap()
+            .group(threads)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel child) {
+                    child.pipeline().addLast(counter, new HttpClientCodec());
+                    child.pipeline().addLast(new HttpObjectAggregator(LONGEST_BODY));
+                    child.pipeline().addLast(new Answers());
+                  }
+                })
+            .connect(address);
+    Channel opened = opening.channel();
+    channel = opened;
+    opening.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            opened.writeAndFlush(request);
+          } else {
+            request.release();
+            answer(opened, HttpReply.NONE);
+          }
+        });
+  }
+
+  private static FullHttpRequest request(String method, String path, String body) {
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(method),
+            path,
+            Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+    request.headers().set(HttpHeaderNames.HOST, "controller");
+    request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+    return request;
+  }
+
+  /** Closes the connection; a question that waits gets no answer any more. */
+  synchronized void close() {
+    closeChannel();
+  }
+
+  private void closeChannel() {
+    waiting = null;
+    if (channel != null) {
+      channel.close();
+      channel = null;
+    }
+  }
+
+  private void answer(Channel from, HttpReply reply) {
+    Consumer<HttpReply> asked;
+    synchronized (this) {
+      if (from != channel) {
+        return;
+      }
+      asked = waiting;
+      waiting = null;
+    }
+    if (asked != null) {
+      asked.accept(reply);
+    }
+  }
+
+  private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      String body = response.content().toString(StandardCharsets.UTF_8);
+      boolean stays = HttpUtil.isKeepAlive(response);
+      answer(context.channel(), new HttpReply(response.status().code(), body));
+      if (!stays) {
+        context.close();
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      answer(context.channel(), HttpReply.NONE);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/HttpListener.java
@@ -0,0 +1,104 @@
+package org.mulleinshift.sim;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.mulleinshift.transport.HttpReply;
+import org.mulleinshift.transport.HttpRequest;
+
+/** An HTTP server of the stand-ins; it may answer for many addresses of the loopback range. */
+final class HttpListener {
+  /** Answers a request; the reply may be given later and from any thread. */
+  interface Handler {
+    void handle(InetSocketAddress local, HttpRequest request, Consumer<HttpReply> reply);
+  }
+
+  private static final int LONGEST_BODY = 4 << 20;
+  private static final int WAITING_CONNECTIONS = 4096;
+  private static final Duration NO_DEADLINE = Duration.ofDays(1);
+
+  private final Channel channel;
+
+  HttpListener(
+      EventLoopGroup threads, InetSocketAddress address, ByteCounter counter, Handler handler) {
+    channel =
+        new ServerBootstrap()
+            .group(threads)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, WAITING_CONNECTIONS)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel child) {
+                    child.pipeline().addLast(counter, new HttpServerCodec());
+                    child.pipeline().addLast(new HttpObjectAggregator(LONGEST_BODY));
+                    child.pipeline().addLast(new Exchange(handler));
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) channel.localAddress();
+  }
+
+  void close() {
+    channel.close().syncUninterruptibly();
+  }
+
+  /** Requests of one connection, one at a time as the protocol asks. */
+  private static final class Exchange extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final Handler handler;
+
+    Exchange(Handler handler) {
+      this.handler = handler;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+      String body = message.content().toString(StandardCharsets.UTF_8);
+      HttpRequest request =
+          new HttpRequest(message.method().name(), message.uri(), Optional.of(body), NO_DEADLINE);
+      InetSocketAddress local = (InetSocketAddress) context.channel().localAddress();
+      handler.handle(local, request, reply -> context.writeAndFlush(response(reply)));
+    }
+
+    private static FullHttpResponse response(HttpReply reply) {
+      FullHttpResponse response =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1,
+              HttpResponseStatus.valueOf(reply.status()),
+              Unpooled.copiedBuffer(reply.body(), StandardCharsets.UTF_8));
+      response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+      response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+      return response;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/ProcessFigures.java
@@ -0,0 +1,137 @@
+package org.mulleinshift.sim;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+
+/**
+ * What a process has used so far, by the kernel's accounts (proc(5)).
+ *
+ * @param cpuSeconds processor time of all its threads
+ * @param loopSeconds processor time of its main thread, which runs the event loop
+ * @param peakMb most memory that was resident, MB
+ * @param ioBytes bytes read and written, sockets included
+ * @param sockets open file descriptors
+ * @param threadSeconds processor time by the kind of thread
+ */
+record ProcessFigures(
+    double cpuSeconds,
+    double loopSeconds,
+    double peakMb,
+    long ioBytes,
+    int sockets,
+    Map<String, Double> threadSeconds) {
+  static final ProcessFigures NONE = new ProcessFigures(0, 0, 0, 0, 0, Map.of());
+
+  /** Ticks of processor time in a second, as the kernel tells them to programs. */
+  private static final double TICKS = 100;
+
+  /** Fields of a thread's account behind its name: user and system time. */
+  private static final int USER = 11;
+
+  private static final int SYSTEM = 12;
+  private static final double KB_PER_MB = 1024;
+
+  /** Of a process that may have ended meanwhile. */
+  static ProcessFigures of(long pid) {
+    Path account = Path.of("/proc", Long.toString(pid));
+    try (Stream<Path> tasks = Files.list(account.resolve("task"))) {
+      Map<String, Double> byThread = new TreeMap<>();
+      double loop = 0;
+      double all = 0;
+      for (Path task : tasks.toList()) {
+        String stat = read(task.resolve("stat"));
+        int close = stat.lastIndexOf(')');
+        if (close < 0) {
+          continue;
+        }
+        double seconds = seconds(stat.substring(close + 2));
+        String name = stat.substring(stat.indexOf('(') + 1, close).replaceAll("[-# 0-9]+$", "");
+        all += seconds;
+        byThread.merge(name, seconds, Double::sum);
+        // The program's main method runs on the launcher's second thread.
+        loop += name.equals("java") ? seconds : 0;
+      }
+      String io = read(account.resolve("io"));
+      String status = read(account.resolve("status"));
+      return new ProcessFigures(
+          all,
+          loop,
+          field(status, "VmHWM:") / KB_PER_MB,
+          (long) (field(io, "rchar:") + field(io, "wchar:")),
+          count(account.resolve("fd")),
+          byThread);
+    } catch (IOException e) {
+      return NONE;
+    }
+  }
+
+  private static double seconds(String fields) {
+    String[] words = fields.split(" ");
+    return (Long.parseLong(words[USER]) + Long.parseLong(words[SYSTEM])) / TICKS;
+  }
+
+  private static String read(Path file) {
+    try {
+      return Files.readString(file);
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  private static double field(String text, String name) {
+    for (String line : text.split("\n")) {
+      if (line.startsWith(name)) {
+        return Double.parseDouble(line.substring(name.length()).strip().split("\\s+")[0]);
+      }
+    }
+    return 0;
+  }
+
+  private static int count(Path folder) throws IOException {
+    try (Stream<Path> files = Files.list(folder)) {
+      return (int) files.count();
+    }
+  }
+
+  ProcessFigures plus(ProcessFigures other) {
+    return new ProcessFigures(
+        cpuSeconds + other.cpuSeconds,
+        loopSeconds + other.loopSeconds,
+        Math.max(peakMb, other.peakMb),
+        ioBytes + other.ioBytes,
+        Math.max(sockets, other.sockets),
+        merged(threadSeconds, other.threadSeconds, 1));
+  }
+
+  /** What was used since an earlier account; peaks are those of now. */
+  ProcessFigures since(ProcessFigures earlier) {
+    return new ProcessFigures(
+        cpuSeconds - earlier.cpuSeconds,
+        loopSeconds - earlier.loopSeconds,
+        peakMb,
+        ioBytes - earlier.ioBytes,
+        sockets,
+        merged(threadSeconds, earlier.threadSeconds, -1));
+  }
+
+  private static Map<String, Double> merged(
+      Map<String, Double> one, Map<String, Double> other, int sign) {
+    Map<String, Double> sum = new TreeMap<>(one);
+    other.forEach((name, seconds) -> sum.merge(name, sign * seconds, Double::sum));
+    return sum;
+  }
+
+  /** The threads that used most, most first. */
+  List<String> busiest(int most) {
+    return threadSeconds.entrySet().stream()
+        .sorted(Map.Entry.<String, Double>comparingByValue().reversed())
+        .limit(most)
+        .map(entry -> String.format("%s %.1f", entry.getKey(), entry.getValue()))
+        .toList();
+  }
+}
--- a/src/test/java/org/mulleinshift/sim/RuleBook.java
+++ b/src/test/java/org/mulleinshift/sim/RuleBook.java
@@ -68,6 +68,7 @@
   private final double cancelSeconds;
   private final Map<String, TrueJob> jobs = new TreeMap<>();
   private final Map<String, OnMachine> running = new HashMap<>();
+  private final TeamUse teamUse;
   private final List<String> broken = new ArrayList<>();
   private int starts;
   private int lateStarts;
@@ -75,11 +76,23 @@
   private Predicate<String> storedAsOver = job -> false;
   private Consumer<TrueJob> onNews = job -> {};
   private Consumer<TrueJob> onNearlyDone = job -> {};
+  private Consumer<TrueJob> onStart = job -> {};
 
   RuleBook(World world, Map<String, Double> teamLimits, double cancelSeconds) {
+    this(world, teamLimits, cancelSeconds, new TeamUse());
+  }
+
+  /**
+   * Watches one of several cells.
+   *
+   * @param teamLimits processors that each team may use over all cells
+   * @param teamUse what the teams use over all cells
+   */
+  RuleBook(World world, Map<String, Double> teamLimits, double cancelSeconds, TeamUse teamUse) {
     this.world = world;
     this.teamLimits = teamLimits;
     this.cancelSeconds = cancelSeconds;
+    this.teamUse = teamUse;
   }
 
   void add(TrueJob job) {
@@ -151,6 +164,11 @@
     onNearlyDone = listener;
   }
 
+  /** Hears of each start of a task. */
+  void onStart(Consumer<TrueJob> listener) {
+    onStart = listener;
+  }
+
   double beforeEnd() {
     return 0.006;
   }
@@ -212,11 +230,14 @@
         violated("too_early", task + " before " + need + " was done");
       }
     }
-    running.put(task, new OnMachine(machine, zone));
-    String team = job.fields.getOrDefault("team", "t");
+    if (running.put(task, new OnMachine(machine, zone)) == null) {
+      teamUse.add(teamOf(job), job.number("cpus", 1));
+    }
+    String team = teamOf(job);
     if (teamLimits.getOrDefault(team, 0.0) > 0 && used(team) > teamLimits.get(team) + 1e-6) {
       violated("quota", team + " uses " + used(team));
     }
+    onStart.accept(job);
   }
 
   boolean zonesKept(TrueJob job, String zone) {
@@ -238,20 +259,17 @@
 
   /** Whether the job's team may use so much more as one of its tasks takes. */
   boolean underLimit(TrueJob job) {
-    String team = job.fields.getOrDefault("team", "t");
+    String team = teamOf(job);
     double limit = teamLimits.getOrDefault(team, 0.0);
     return limit == 0 || used(team) + job.number("cpus", 1) <= limit + 1e-6;
   }
 
+  private static String teamOf(TrueJob job) {
+    return job.fields.getOrDefault("team", "t");
+  }
+
   private double used(String team) {
-    double used = 0;
-    for (String task : running.keySet()) {
-      TrueJob job = jobs.get(jobOf(task));
-      if (job.fields.getOrDefault("team", "t").equals(team)) {
-        used += job.number("cpus", 1);
-      }
-    }
-    return used;
+    return teamUse.of(team);
   }
 
   void completed(String task) {
@@ -268,6 +286,8 @@
     OnMachine where = running.get(task);
     if (where != null && where.machine().equals(machine)) {
       running.remove(task);
+      TrueJob job = jobs.get(jobOf(task));
+      teamUse.add(teamOf(job), -job.number("cpus", 1));
       checkCancelled(task);
     }
   }
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/ScaleGroup.java
@@ -0,0 +1,101 @@
+package org.mulleinshift.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A scale run whose cells are spread over several processes, where one would have too many
+ * connections. Each plays whole cells; as each cell has a fixed share of every team's limit, what
+ * each process checks adds up.
+ */
+final class ScaleGroup {
+  /** Heap of a process beside what its workers take, MB. */
+  private static final long HEAP_MB = 200;
+
+  private final ScaleOptions options;
+  private final List<String> arguments;
+
+  /**
+   * A group.
+   *
+   * @param arguments of the command line, handed on to each process
+   */
+  ScaleGroup(ScaleOptions options, List<String> arguments) {
+    this.options = options;
+    this.arguments = arguments;
+  }
+
+  /** Plays all cells; true if no process found a rule broken. */
+  boolean play() throws IOException, InterruptedException {
+    Path folder = Files.createTempDirectory("scale-group");
+    List<Process> processes = new ArrayList<>();
+    List<Path> reports = new ArrayList<>();
+    int perProcess = (options.cells + options.processes - 1) / options.processes;
+    for (int first = 0; first < options.cells; first += perProcess) {
+      Path report = folder.resolve("report-" + first + ".json");
+      reports.add(report);
+      processes.add(start(first, Math.min(perProcess, options.cells - first), report));
+    }
+    boolean passed = true;
+    for (Process process : processes) {
+      passed &= process.waitFor() == 0;
+    }
+    System.out.println(sum(reports));
+    return passed;
+  }
+
+  private Process start(int first, int count, Path report) throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.add("-Xmx" + heapMb(count) + "m");
+    command.add("-cp");
+    command.add(System.getProperty("java.class.path"));
+    command.add(ScaleRun.class.getName());
+    command.addAll(arguments);
+    command.add("--processes=1");
+    command.add("--first-cell=" + first);
+    command.add("--cells-here=" + count);
+    // Each process in a part of the loopback range of its own.
+    command.add("--network=" + (ScaleRun.LAST_NETWORK + 1 - (first + 1)));
+    command.add("--report=" + report);
+    return new ProcessBuilder(command).inheritIO().start();
+  }
+
+  private long heapMb(int cells) {
+    double workers = (double) options.workers * cells / options.cells;
+    return HEAP_MB + (long) (workers * ScaleRun.STAND_IN_MB_PER_WORKER);
+  }
+
+  private static String sum(List<Path> reports) throws IOException {
+    ObjectMapper json = new ObjectMapper();
+    double starts = 0;
+    double cores = 0;
+    double requests = 0;
+    double changes = 0;
+    double memory = 0;
+    double machine = 0;
+    long worst = 0;
+    long workers = 0;
+    for (Path report : reports) {
+      JsonNode run = json.readTree(report.toFile()).get(0);
+      starts += run.path("starts_per_s").asDouble();
+      cores += run.path("controllers_cores").asDouble();
+      requests += run.path("state_requests_per_s").asDouble();
+      changes += run.path("state_changes_per_s").asDouble();
+      machine += run.path("machine_share").asDouble();
+      workers += run.path("workers_up").asLong();
+      memory = Math.max(memory, run.path("most_memory_mb").asDouble());
+      worst = Math.max(worst, run.path("start_urgent_ms").path("p99").asLong());
+    }
+    return String.format(
+        "all processes: %d workers, %.0f starts/s, controllers %.2f cores, most memory %.0f MB,"
+            + " state services %.0f requests/s and %.0f changes/s, urgent start p99 %d ms in the"
+            + " worst process, share of the machine %.2f",
+        workers, starts, cores, memory, requests, changes, worst, machine);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/ScaleMeasures.java
@@ -0,0 +1,84 @@
+package org.mulleinshift.sim;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** What users see, over all cells of a process; times in milliseconds. */
+final class ScaleMeasures {
+  private static final long LONGEST_MILLIS = 3_600_000;
+  private static final int DIGITS = 3;
+
+  private final Map<String, Histogram> starts = new ConcurrentHashMap<>();
+  private final Map<String, Histogram> firstStarts = new ConcurrentHashMap<>();
+  private final Histogram accepted = new ConcurrentHistogram(LONGEST_MILLIS, DIGITS);
+  private volatile double measuredFrom = Double.MAX_VALUE;
+
+  /**
+   * Counters of a cell's stand-ins.
+   *
+   * @param workerBytes bytes of reports, orders and their answers
+   * @param workersSeconds processor time of the thread of workers, cloud and users
+   * @param stateSeconds processor time of the thread of the state service
+   * @param machines workers that are up
+   */
+  record StandIns(
+      long stateRequests,
+      long stateChanges,
+      long stateRefused,
+      long stateBytes,
+      long workerBytes,
+      long workerConnections,
+      long cloudBytes,
+      double workersSeconds,
+      double stateSeconds,
+      int machines) {}
+
+  /** Jobs submitted later than this count. */
+  void measureFrom(double seconds) {
+    measuredFrom = seconds;
+  }
+
+  private static Histogram histogram() {
+    return new ConcurrentHistogram(LONGEST_MILLIS, DIGITS);
+  }
+
+  private static void record(Histogram histogram, double seconds) {
+    histogram.recordValue(Math.min(LONGEST_MILLIS, Math.max(0, Math.round(seconds * 1000))));
+  }
+
+  /** A task of the job starts. */
+  void started(RuleBook.TrueJob job, double now) {
+    if (job.submittedAt < measuredFrom) {
+      return;
+    }
+    String jobClass = job.fields.get("class");
+    record(starts.computeIfAbsent(jobClass, key -> histogram()), now - job.submittedAt);
+    if (job.starts == 1) {
+      record(firstStarts.computeIfAbsent(jobClass, key -> histogram()), now - job.submittedAt);
+    }
+  }
+
+  /** The job's user is told that it is accepted, or that it is over. */
+  void news(RuleBook.TrueJob job) {
+    if (job.submittedAt >= measuredFrom && job.overAt == null) {
+      record(accepted, job.acceptedAt - job.submittedAt);
+    }
+  }
+
+  /** From the submission to each start, by class. */
+  Map<String, Histogram> starts() {
+    return starts;
+  }
+
+  /** From the submission to a job's first start, by class. */
+  Map<String, Histogram> firstStarts() {
+    return firstStarts;
+  }
+
+  /** From the submission to its answer. */
+  Histogram accepted() {
+    return accepted;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/ScaleRun.java
@@ -0,0 +1,219 @@
+package org.mulleinshift.sim;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.http.HttpClient;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.Stream;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/**
+ * The scale run: real controller processes on loopback beside hollow workers that speak the whole
+ * protocol of workers and do no work. Ends by itself; fails if a rule was broken.
+ */
+@Command(name = "scale-run", mixinStandardHelpOptions = true, sortOptions = false)
+public final class ScaleRun implements Callable<Integer> {
+  private static final int RULE_BROKEN = 1;
+  private static final double READY_WITHIN_SECONDS = 60;
+  private static final double WORKERS_UP_SECONDS = 5;
+  private static final double DRAIN_SECONDS = 12;
+  private static final int IO_THREADS = 2;
+  private static final int PROBE_PORT = 2379;
+
+  /** Networks above the last that is taken by itself are those of a group's processes. */
+  static final int LAST_NETWORK = 250;
+
+  private static final int LAST_FREE = 200;
+
+  /** Share of the machine's memory that a run may take. */
+  private static final double MEMORY_SHARE = 0.5;
+
+  private static final double CONTROLLER_MB = 250;
+  static final double STAND_IN_MB_PER_WORKER = 0.15;
+  private static final int CONNECTIONS_PER_WORKER = 3;
+
+  @Mixin private ScaleOptions options = new ScaleOptions();
+
+  private final List<ScaleReport> reports = new ArrayList<>();
+  private List<String> arguments = List.of();
+
+  public static void main(String[] args) {
+    ScaleRun run = new ScaleRun();
+    run.arguments = List.of(args);
+    int code = new CommandLine(run).setOverwrittenOptionsAllowed(true).execute(args);
+    System.exit(code);
+  }
+
+  ScaleRun() {}
+
+  /**
+   * Plays one size, for tests.
+   *
+   * @return what broke a rule
+   */
+  public static List<String> brokenBy(String[] arguments, String... more)
+      throws IOException, InterruptedException {
+    ScaleRun run = new ScaleRun();
+    CommandLine line = new CommandLine(run).setOverwrittenOptionsAllowed(true);
+    line.parseArgs(Stream.concat(Stream.of(arguments), Stream.of(more)).toArray(String[]::new));
+    return run.play().broken();
+  }
+
+  @Override
+  public Integer call() throws IOException, InterruptedException {
+    if (options.processes > 1) {
+      return new ScaleGroup(options, arguments).play() ? 0 : RULE_BROKEN;
+    }
+    List<Integer> sizes = options.sizes.isEmpty() ? List.of(options.workers) : options.sizes;
+    double startsPerWorker = options.starts / options.workers;
+    for (int size : sizes) {
+      options.workers = size;
+      options.starts = startsPerWorker * size;
+      ScaleReport report = play();
+      reports.add(report);
+      System.out.println(report.text());
+    }
+    if (reports.size() > 1) {
+      System.out.println(ScaleReport.table(reports));
+    }
+    if (options.report != null) {
+      Files.writeString(options.report, ScaleReport.json(reports));
+    }
+    return reports.stream().allMatch(ScaleReport::passed) ? 0 : RULE_BROKEN;
+  }
+
+  /** Plays one size. */
+  ScaleReport play() throws IOException, InterruptedException {
+    checkBounds();
+    Path folder = Files.createTempDirectory("scale-run");
+    EventLoopGroup threads = new NioEventLoopGroup(IO_THREADS);
+    ExecutorService answers = Executors.newFixedThreadPool(IO_THREADS);
+    ScaleMeasures measures = new ScaleMeasures();
+    ScaleCell.Shared shared =
+        new ScaleCell.Shared(
+            options,
+            options.network > 0 ? options.network : freeNetwork(),
+            folder,
+            threads,
+            HttpClient.newBuilder().executor(answers).build(),
+            new TeamUse(),
+            measures);
+    List<ScaleCell> cells = new ArrayList<>();
+    for (int i = 0; i < options.cellsHere(); i++) {
+      cells.add(new ScaleCell(shared, options.firstCell + i));
+    }
+    Thread ender = new Thread(() -> cells.forEach(ScaleCell::killControllers));
+    Runtime.getRuntime().addShutdownHook(ender);
+    try {
+      return play(cells, measures, folder);
+    } finally {
+      cells.forEach(ScaleCell::stop);
+      Runtime.getRuntime().removeShutdownHook(ender);
+      threads.shutdownGracefully();
+      answers.shutdownNow();
+    }
+  }
+
+  private ScaleReport play(List<ScaleCell> cells, ScaleMeasures measures, Path folder)
+      throws IOException, InterruptedException {
+    for (ScaleCell cell : cells) {
+      cell.start();
+    }
+    awaitReady(cells);
+    sleep(WORKERS_UP_SECONDS);
+    double begun = cells.get(0).world().seconds();
+    for (ScaleCell cell : cells) {
+      cell.submitUntil(cell.world().seconds() + options.seconds);
+    }
+    ScaleTroubles troubles = new ScaleTroubles(options.troubles, cells);
+    measures.measureFrom(begun + options.warmupSeconds);
+    ScaleReport.Sample before = null;
+    for (double at = 1; at <= options.seconds; at++) {
+      sleep(begun + at - cells.get(0).world().seconds());
+      troubles.play(at);
+      cells.forEach(cell -> cell.controllers().forEach(ControllerProcess::watch));
+      if (before == null && at >= options.warmupSeconds) {
+        before = ScaleReport.Sample.of(cells);
+      }
+    }
+    ScaleReport.Sample after = ScaleReport.Sample.of(cells);
+    sleep(DRAIN_SECONDS);
+    double calmSince = begun + Math.max(troubles.lastAt(), 0);
+    return ScaleReport.of(options, cells, measures, before, after, troubles, calmSince, folder);
+  }
+
+  private static void awaitReady(List<ScaleCell> cells) throws InterruptedException {
+    long until = System.nanoTime() + (long) (READY_WITHIN_SECONDS * 1e9);
+    while (!cells.stream().allMatch(ScaleCell::ready)) {
+      if (System.nanoTime() > until) {
+        throw new IllegalStateException("controllers were not ready in time");
+      }
+      sleep(0.1);
+    }
+  }
+
+  private static void sleep(double seconds) throws InterruptedException {
+    Thread.sleep((long) (1000 * Math.max(0, seconds)));
+  }
+
+  /** Refuses what would take more of the machine than a run may. */
+  private void checkBounds() {
+    double wanted =
+        options.cells * options.controllers * CONTROLLER_MB
+            + options.workers * STAND_IN_MB_PER_WORKER;
+    double allowed = MEMORY_SHARE * machineMemoryMb();
+    if (wanted > allowed) {
+      throw new IllegalArgumentException(
+          String.format("the run would take %.0f MB, and may take %.0f", wanted, allowed));
+    }
+    long files = openFilesLimit();
+    long connections =
+        (long) CONNECTIONS_PER_WORKER * options.workers * options.cellsHere() / options.cells;
+    if (connections > files) {
+      throw new IllegalArgumentException(
+          connections + " connections are more than the " + files + " of this process");
+    }
+  }
+
+  private static double machineMemoryMb() {
+    com.sun.management.OperatingSystemMXBean machine =
+        (com.sun.management.OperatingSystemMXBean)
+            java.lang.management.ManagementFactory.getOperatingSystemMXBean();
+    return machine.getTotalMemorySize() / 1e6;
+  }
+
+  private static long openFilesLimit() {
+    com.sun.management.UnixOperatingSystemMXBean process =
+        (com.sun.management.UnixOperatingSystemMXBean)
+            java.lang.management.ManagementFactory.getOperatingSystemMXBean();
+    return process.getMaxFileDescriptorCount();
+  }
+
+  /** A part of the loopback range that no other run uses. */
+  private static int freeNetwork() throws IOException {
+    for (int network = 1; network <= LAST_FREE; network++) {
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddress.getByName("127." + network + ".0.101"), PROBE_PORT);
+      try (ServerSocket probe = new ServerSocket()) {
+        probe.bind(address);
+        return network;
+      } catch (BindException e) {
+        continue;
+      }
+    }
+    throw new IOException("no part of the loopback range is free");
+  }
+}
--- a/src/test/java/org/mulleinshift/sim/SimCloud.java
+++ b/src/test/java/org/mulleinshift/sim/SimCloud.java
@@ -2,14 +2,17 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.IntFunction;
 import org.mulleinshift.transport.HttpReply;
 import org.mulleinshift.transport.HttpRequest;
 
@@ -46,14 +49,17 @@
     }
   }
 
+  private static final int LONGEST_PAGE = 500;
+
   private final World world;
   private final double lag;
   private final Function<Machine, SimWorker> starter;
   private final ObjectMapper json = new ObjectMapper();
   private final Map<String, Type> types = new LinkedHashMap<>();
   private final Map<String, Integer> capacity = new HashMap<>();
-  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final NavigableMap<String, Machine> machines = new TreeMap<>();
   private final Map<String, HttpReply> answered = new HashMap<>();
+  private IntFunction<String> addresses = SimCloud::privateAddress;
   private double outageUntil;
   private double stuckUntil;
   private double bootFactor = 1;
@@ -66,6 +72,15 @@
     this.starter = starter;
   }
 
+  /** Where the worker of the machine with that number listens, from 1 on. */
+  void addresses(IntFunction<String> next) {
+    addresses = next;
+  }
+
+  private static String privateAddress(int number) {
+    return "10.1." + number / 200 + "." + (number % 200 + 1) + ":9000";
+  }
+
   void add(Type type) {
     types.put(type.name(), type);
   }
@@ -134,7 +149,7 @@
       return catalog();
     }
     if (request.path().startsWith("/rentals?")) {
-      return list();
+      return list(request.path());
     }
     JsonNode body = json.readTree(request.body().orElse("{}"));
     if (request.path().equals("/rentals/delete")) {
@@ -197,7 +212,7 @@
     Machine machine =
         new Machine(
             String.format("i-%06d", number),
-            "10.1." + number / 200 + "." + (number % 200 + 1) + ":9000",
+            addresses.apply(number),
             type,
             zone,
             spot,
@@ -229,24 +244,29 @@
     }
   }
 
-  private HttpReply list() {
+  private HttpReply list(String path) {
+    Map<String, String> query = Query.of(path);
+    int limit = Integer.parseInt(query.getOrDefault("limit", Integer.toString(LONGEST_PAGE)));
+    String from = query.getOrDefault("from", "");
     double moment = world.seconds() - lag * (1 + world.random());
     ObjectNode node = json.createObjectNode();
-    List<Machine> listed = new ArrayList<>();
-    for (Machine machine : machines.values()) {
-      if (machine.createdAt <= moment && machine.goneAt > moment) {
-        listed.add(machine);
+    ArrayNode hosts = node.putArray("hosts");
+    boolean more = false;
+    for (Machine machine : machines.tailMap(from, false).values()) {
+      if (machine.createdAt > moment || machine.goneAt <= moment) {
+        continue;
+      }
+      if (hosts.size() == Math.min(limit, LONGEST_PAGE)) {
+        more = true;
+        break;
       }
-    }
-    var hosts = node.putArray("hosts");
-    for (Machine machine : listed) {
       ObjectNode item = hosts.addObject();
       item.put("ref", machine.name).put("addr", machine.address).put("build", machine.type);
       item.put("yard", machine.zone).put("loaner", machine.spot);
       item.put("phase", machine.upAt <= moment ? "running" : "booting");
       item.put("held_s", moment - machine.createdAt);
     }
-    node.put("more", false);
+    node.put("more", more);
     return new HttpReply(200, node.toString());
   }
 }
--- a/src/test/java/org/mulleinshift/sim/SimState.java
+++ b/src/test/java/org/mulleinshift/sim/SimState.java
@@ -51,6 +51,8 @@
           "block",
           "p",
           "delegation",
+          "l",
+          "delegation",
           "r",
           "rental",
           "t",
@@ -345,7 +347,7 @@
       return get(path.substring("/keys/".length()));
     }
     if (path.startsWith("/keys?")) {
-      return range(query(path));
+      return range(Query.of(path));
     }
     if (path.equals("/commit")) {
       return commit(json.readTree(request.body().orElse("{}")));
@@ -361,15 +363,6 @@
     return new HttpReply(404, "{}");
   }
 
-  private static Map<String, String> query(String path) {
-    Map<String, String> values = new HashMap<>();
-    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
-      int equals = part.indexOf('=');
-      values.put(part.substring(0, equals), part.substring(equals + 1));
-    }
-    return values;
-  }
-
   private HttpReply get(String key) {
     Entry entry = keys.get(key);
     if (entry == null) {
@@ -455,7 +448,7 @@
         onTerm.run();
       } else if (key.startsWith("c/g/")) {
         granted.add(world.seconds());
-      } else if (key.startsWith("p/")) {
+      } else if (key.startsWith("p/") || key.startsWith("l/")) {
         progressed.add(world.seconds());
       }
       ObjectNode change = json.createObjectNode();
@@ -550,7 +543,7 @@
   }
 
   private void watch(String node, String path, Consumer<HttpReply> reply) {
-    Map<String, String> query = query(path);
+    Map<String, String> query = Query.of(path);
     long from = Long.parseLong(query.get("from"));
     if (from < forgottenChanges) {
       reply.accept(new HttpReply(410, "{}"));
--- a/src/test/java/org/mulleinshift/sim/SimUser.java
+++ b/src/test/java/org/mulleinshift/sim/SimUser.java
@@ -34,6 +34,7 @@
   private final List<Integer> statuses = new ArrayList<>();
   private boolean polling;
   private double pollSeconds = POLL_SECONDS;
+  private int pollsAfterEnd = Integer.MAX_VALUE;
 
   SimUser(World world, RuleBook rules, Nodes nodes, RuleBook.TrueJob job) {
     this.world = world;
@@ -107,6 +108,11 @@
     pollSeconds = POLL_SECONDS / factor;
   }
 
+  /** Asks only so many times more once it was told that the job is over. */
+  void pollsAfterEnd(int most) {
+    pollsAfterEnd = most;
+  }
+
   void cancel() {
     job.cancelAsked = true;
     attempt("POST", "/v2/runs/" + job.id + "/withdraw", "", world.seconds());
@@ -158,6 +164,9 @@
 
   /** One poll at a time; a response that takes longer than the user waits is not heard. */
   private void poll() {
+    if (job.overAt != null && pollsAfterEnd-- <= 0) {
+      return;
+    }
     boolean[] over = new boolean[1];
     double asked = world.seconds();
     Runnable next =
--- /dev/null
+++ b/src/test/java/org/mulleinshift/sim/TeamUse.java
@@ -0,0 +1,22 @@
+package org.mulleinshift.sim;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Processors that the tasks of each team use; shared by the rule books of several cells. */
+final class TeamUse {
+  private final Map<String, Double> cpus = new HashMap<>();
+
+  /**
+   * A task of the team started, or left its machine.
+   *
+   * @param amount processors, negative for a task that left
+   */
+  synchronized void add(String team, double amount) {
+    cpus.merge(team, amount, Double::sum);
+  }
+
+  synchronized double of(String team) {
+    return cpus.getOrDefault(team, 0.0);
+  }
+}
--- a/src/test/java/org/mulleinshift/sim/World.java
+++ b/src/test/java/org/mulleinshift/sim/World.java
@@ -4,7 +4,7 @@
 import java.util.SplittableRandom;
 
 /** Virtual time: runs events in order, with nothing but a seed behind its chances. */
-final class World {
+class World {
   private record Event(long at, long sequence, Runnable step) implements Comparable<Event> {
     @Override
     public int compareTo(Event other) {
