--- a/src/main/java/org/mulleinshift/bookkeeping/Job.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Job.java
@@ -185,6 +185,7 @@
     clear(base, base + most);
     ended.stream().forEach(index -> markDone(base + index));
     found.forEach(this::add);
+    beyond.remove(part);
     UnknownFields.beyond(progress(part), value).ifPresent(more -> beyond.put(part, more));
   }
 
--- a/src/main/java/org/mulleinshift/bookkeeping/Keys.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Keys.java
@@ -1,6 +1,7 @@
 package org.mulleinshift.bookkeeping;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.NodeId;
@@ -17,6 +18,7 @@
  *   <li>{@code t/JOB} how a job ended; never removed
  *   <li>{@code p/JOB/CHUNK} done and delegated tasks of a part of a job
  *   <li>{@code p/JOB/CHUNK/PATH} the same of a part of a chunk that was too long for a value
+ *   <li>{@code l/NUMBER} a slot of the progress log: progress of parts of several jobs
  *   <li>{@code w/JOB/DIGEST/N} a list of jobs that a job awaits, where its record could not hold it
  *   <li>{@code r/NAME} a rental asked for and not yet answered
  *   <li>{@code c/v/NODE} which build the controller has shown
@@ -31,6 +33,7 @@
   public static final String ACTIVE = "a/";
   public static final String ENDED = "t/";
   public static final String PROGRESS = "p/";
+  public static final String LOG = "l/";
   public static final String RENTALS = "r/";
   public static final String AWAITED = "w/";
   public static final String BUILDS = "c/v/";
@@ -74,6 +77,18 @@
     return PROGRESS + job + "/" + part;
   }
 
+  public static String segment(int number) {
+    return LOG + number;
+  }
+
+  /** None if it is not a key of this build. */
+  public static OptionalInt segmentNumber(String key) {
+    String number = key.substring(LOG.length());
+    return number.matches("[0-9]{1,6}")
+        ? OptionalInt.of(Integer.parseInt(number))
+        : OptionalInt.empty();
+  }
+
   public static String awaited(JobId job, String digest, int list) {
     return AWAITED + job + "/" + digest + "/" + list;
   }
--- a/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/LeaderJournal.java
@@ -54,6 +54,14 @@
       return true;
     }
 
+    /** Whether it goes before all others while something waits for it: few changes for many. */
+    default boolean first() {
+      return false;
+    }
+
+    /** The service will never take the unit in the form that it had; it may be asked for anew. */
+    default void unfit() {}
+
     /** A key's current form after a conflict; the unit may adapt or give up. */
     default void reread(String key, java.util.Optional<Item> item) {}
   }
@@ -62,6 +70,7 @@
   private final StateStore store;
   private final Revision term;
   private final int mostOps;
+  private final Duration spacing;
   private final Runnable onLost;
   private final Map<String, Revision> versions = new HashMap<>();
   private final Map<String, Unit> dirty = new LinkedHashMap<>();
@@ -71,13 +80,29 @@
   private int alone;
   private State state = State.IDLE;
   private boolean flushPlanned;
+  private SteadyTime sentAt;
 
+  /**
+   * A journal of one term.
+   *
+   * @param mostOps changes of a transaction at most
+   * @param spacing least time between two transactions: what comes meanwhile shares the next one,
+   *     and the requests are left to others
+   * @param onLost called once it is certain that the term is over
+   */
   public LeaderJournal(
-      EventLoop loop, StateStore store, Revision term, int mostOps, Runnable onLost) {
+      EventLoop loop,
+      StateStore store,
+      Revision term,
+      int mostOps,
+      Duration spacing,
+      Runnable onLost) {
     this.loop = loop;
     this.store = store;
     this.term = term;
     this.mostOps = mostOps;
+    this.spacing = spacing;
+    this.sentAt = loop.now().minus(spacing);
     this.onLost = onLost;
   }
 
@@ -153,7 +178,10 @@
           flushPlanned = false;
           flush();
         };
-    if (delay.isZero()) {
+    Duration rest = spacing.minus(loop.now().since(sentAt));
+    if (rest.compareTo(delay) > 0) {
+      loop.after(rest, flush);
+    } else if (delay.isZero()) {
       // At the end of the current step, so that what one step changes shares a transaction.
       loop.post(flush);
     } else {
@@ -197,6 +225,7 @@
       return;
     }
     alone = Math.max(0, alone - 1);
+    sentAt = loop.now();
     moveTo(State.COMMITTING);
     Map<String, Unit> from = source;
     store.commit(
@@ -205,6 +234,7 @@
 
   /** Where writes are scarce, what nobody waits for lets the rest pass, but not for ever. */
   private List<String> turns(Map<String, Unit> source) {
+    List<String> order = new ArrayList<>();
     List<String> first = new ArrayList<>();
     List<String> later = new ArrayList<>();
     SteadyTime late = loop.now().minus(PATIENCE);
@@ -212,10 +242,12 @@
         (name, unit) -> {
           SteadyTime since = askedAt.get(name);
           boolean soon = unit.pressing() || since == null || late.isAfter(since);
-          (soon ? first : later).add(name);
+          boolean ahead = unit.first() && unit.pressing();
+          (ahead ? order : soon ? first : later).add(name);
         });
-    first.addAll(later);
-    return first;
+    order.addAll(first);
+    order.addAll(later);
+    return order;
   }
 
   /**
@@ -223,6 +255,7 @@
    * alone; what is refused alone holds up only itself, until it is asked for anew.
    */
   private void refusedForGood(Map<String, Unit> from, Map<String, Unit> taken, String why) {
+    moveTo(State.IDLE);
     if (taken.size() > 1) {
       alone = taken.size();
       restore(from, taken);
@@ -232,8 +265,8 @@
       if (unfit.size() < MOST_NAMED && unfit.add(name)) {
         LOG.error("{} can't be stored: {}", name, why);
       }
+      taken.get(name).unfit();
     }
-    moveTo(State.IDLE);
     planFlush(RETRY);
   }
 
--- /dev/null
+++ b/src/main/java/org/mulleinshift/bookkeeping/ProgressLog.java
@@ -0,0 +1,284 @@
+package org.mulleinshift.bookkeeping;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.StateCodec.Write;
+
+/**
+ * Where the newest stored image of each part of a job's progress stands in the log.
+ *
+ * <p>The log is a bounded set of slots, each a key that is overwritten and never deleted while the
+ * log is in use: a late copy of an earlier write always meets a version that has moved on. A slot
+ * may be overwritten once it holds no live image: each of its images has a newer one that is stored
+ * elsewhere, or its job is over. A write that had no certain outcome is in doubt: the next write
+ * overwrites its slots first, so that nothing of it can appear later.
+ */
+public final class ProgressLog {
+  /** Bounds what a new leader reads: so many values at most. */
+  public static final int MOST_SLOTS = 256;
+
+  /** So few slots are never compacted. */
+  private static final int LEAST_SLOTS = 8;
+
+  /** Slots in use are kept below this many times what the live images need. */
+  private static final int SLACK = 3;
+
+  /** Above this share of all slots live images are moved to keys of their own. */
+  private static final double MOST_LIVE = 0.5;
+
+  /** Of an entry, for the names of its job and part. */
+  private static final int NAMES_BYTES = 160;
+
+  /** A part of a job whose progress is in the log. */
+  public record Image(JobId job, Part part) {}
+
+  private static final class Slot {
+    private final int number;
+    private final Map<Image, Integer> live = new LinkedHashMap<>();
+    private boolean pinned;
+    private long writtenAt;
+
+    Slot(int number) {
+      this.number = number;
+    }
+
+    boolean free() {
+      return live.isEmpty() && !pinned;
+    }
+
+    int liveBytes() {
+      return live.values().stream().mapToInt(Integer::intValue).sum();
+    }
+  }
+
+  private int slotBytes;
+  private final Map<Integer, Slot> slots = new TreeMap<>();
+  private final Map<Image, Slot> where = new HashMap<>();
+  private final Map<JobId, Set<Image>> byJob = new HashMap<>();
+  private final Set<Integer> inDoubt = new TreeSet<>();
+  private long writes;
+  private int liveBytes;
+
+  /**
+   * An empty log.
+   *
+   * @param valueBytes longest value that may be written
+   */
+  public ProgressLog(int valueBytes) {
+    this.slotBytes = Segment.room(valueBytes);
+  }
+
+  /** What one transaction writes to the log. */
+  public final class Batch {
+    private final List<Slot> taken = new ArrayList<>();
+    private final Map<Slot, List<Segment.Entry>> entries = new LinkedHashMap<>();
+    private final Map<Slot, Integer> bytes = new HashMap<>();
+    private final int mostSlots;
+
+    private Batch(int mostSlots) {
+      this.mostSlots = mostSlots;
+      inDoubt.forEach(number -> take(slots.get(number)));
+    }
+
+    private void take(Slot slot) {
+      taken.add(slot);
+      entries.put(slot, new ArrayList<>());
+      bytes.put(slot, 0);
+    }
+
+    /** Takes up an entry; false if nothing of the batch has room for it. */
+    public boolean add(Segment.Entry entry) {
+      int size = entry.bytes();
+      Optional<Slot> slot = roomFor(size);
+      slot.ifPresent(
+          found -> {
+            entries.get(found).add(entry);
+            bytes.merge(found, size, Integer::sum);
+          });
+      return slot.isPresent();
+    }
+
+    private Optional<Slot> roomFor(int size) {
+      for (Slot slot : taken) {
+        if (bytes.get(slot) + size <= slotBytes) {
+          return Optional.of(slot);
+        }
+      }
+      Optional<Slot> free =
+          size <= slotBytes && taken.size() < mostSlots ? freeSlot(taken) : Optional.empty();
+      free.ifPresent(this::take);
+      return free;
+    }
+
+    /** Whether it would write nothing. */
+    public boolean empty() {
+      return taken.isEmpty();
+    }
+
+    /** The transaction's writes; from now on its slots are in doubt. */
+    public List<Write> writes() {
+      List<Write> writes = new ArrayList<>();
+      for (Slot slot : taken) {
+        inDoubt.add(slot.number);
+        writes.add(Write.put(Keys.segment(slot.number), Segment.write(entries.get(slot))));
+      }
+      return writes;
+    }
+  }
+
+  private Optional<Slot> freeSlot(List<Slot> taken) {
+    for (int number = 0; number < MOST_SLOTS; number++) {
+      Slot slot = slots.computeIfAbsent(number, Slot::new);
+      if (slot.free() && !taken.contains(slot)) {
+        return Optional.of(slot);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Begins a write; slots whose last write is in doubt are part of it. */
+  public Batch begin(int mostSlots) {
+    return new Batch(mostSlots);
+  }
+
+  /** Values are at most half as long from now on. */
+  public void shorten() {
+    slotBytes /= 2;
+  }
+
+  /** Longest progress of a part that surely fits into an entry. */
+  public int longestProgress() {
+    return slotBytes - NAMES_BYTES;
+  }
+
+  /** Longest entry that any slot takes. */
+  public int longestEntry() {
+    return slotBytes;
+  }
+
+  /** The batch is stored: its images are the newest, and earlier ones are no longer needed. */
+  public void stored(Batch batch) {
+    inDoubt.clear();
+    writes++;
+    for (Slot slot : batch.taken) {
+      slot.writtenAt = writes;
+      batch.entries.get(slot).forEach(entry -> enter(slot, entry));
+    }
+  }
+
+  private void enter(Slot slot, Segment.Entry entry) {
+    Image image = new Image(entry.job(), entry.part());
+    release(image);
+    int bytes = entry.bytes();
+    slot.live.put(image, bytes);
+    liveBytes += bytes;
+    where.put(image, slot);
+    byJob.computeIfAbsent(image.job(), key -> new LinkedHashSet<>()).add(image);
+  }
+
+  /** The image is stored elsewhere by now, or nobody needs it. */
+  public void release(Image image) {
+    Slot slot = where.remove(image);
+    if (slot == null) {
+      return;
+    }
+    liveBytes -= slot.live.remove(image);
+    Set<Image> images = byJob.get(image.job());
+    images.remove(image);
+    if (images.isEmpty()) {
+      byJob.remove(image.job());
+    }
+  }
+
+  /** The job is over. */
+  public void release(JobId job) {
+    List.copyOf(byJob.getOrDefault(job, Set.of())).forEach(this::release);
+  }
+
+  /** A slot that was found in the store. */
+  public void found(int number) {
+    slots.computeIfAbsent(number, Slot::new);
+  }
+
+  /** An image that was found to be the newest of its part. */
+  public void found(int number, Segment.Entry newest) {
+    enter(slots.computeIfAbsent(number, Slot::new), newest);
+  }
+
+  /** The slot holds what this build can't read, or may not touch: it is left as it is. */
+  public void pin(int number) {
+    slots.computeIfAbsent(number, Slot::new).pinned = true;
+  }
+
+  /**
+   * Live images of several slots that fit into one: written anew together they leave more slots
+   * free than they take.
+   */
+  public List<Image> toCompact() {
+    int needed = liveBytes / Math.max(1, slotBytes) + 1;
+    if (inUse() <= Math.max(LEAST_SLOTS, SLACK * needed) || crowded()) {
+      return List.of();
+    }
+    List<Image> images = new ArrayList<>();
+    int bytes = 0;
+    int emptied = 0;
+    for (Slot slot : occupied(Comparator.comparingInt(Slot::liveBytes))) {
+      bytes += slot.liveBytes();
+      if (bytes > slotBytes) {
+        break;
+      }
+      images.addAll(slot.live.keySet());
+      emptied++;
+    }
+    return emptied > 1 ? images : List.of();
+  }
+
+  /** Live images that should move to keys of their own: the log is too full to compact it. */
+  public List<Image> toMoveOut() {
+    if (!crowded()) {
+      return List.of();
+    }
+    List<Slot> oldestFirst = occupied(Comparator.comparingLong(slot -> slot.writtenAt));
+    return oldestFirst.isEmpty() ? List.of() : List.copyOf(oldestFirst.get(0).live.keySet());
+  }
+
+  private boolean crowded() {
+    return liveBytes > MOST_LIVE * MOST_SLOTS * slotBytes;
+  }
+
+  private List<Slot> occupied(Comparator<Slot> order) {
+    return slots.values().stream()
+        .filter(slot -> !slot.pinned && !slot.live.isEmpty())
+        .sorted(order)
+        .toList();
+  }
+
+  private int inUse() {
+    return (int) slots.values().stream().filter(slot -> !slot.free()).count();
+  }
+
+  /** All parts whose newest image is in the log. */
+  public List<Image> live() {
+    return List.copyOf(where.keySet());
+  }
+
+  /** Whether nothing of the log is needed, and nothing of it may still be on its way. */
+  public boolean idle() {
+    return inUse() == 0 && inDoubt.isEmpty();
+  }
+
+  /** Keys of the slots that are known. */
+  public List<String> keys() {
+    return slots.keySet().stream().map(Keys::segment).toList();
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/AssignmentWriter.java
+++ b/src/main/java/org/mulleinshift/coordination/AssignmentWriter.java
@@ -51,7 +51,7 @@
     List<AssignedJob> assigned = new ArrayList<>();
     byJob.forEach((id, tasks) -> assigned.add(assignedJob(leader.jobs().get(id).spec(), tasks)));
     // A job without tasks: what runs of it is left alone. All of them, with each message.
-    leader.setAside().jobs().forEach(id -> assigned.add(leftAlone(id)));
+    leader.unreadable().jobs().forEach(id -> assigned.add(leftAlone(id)));
     List<String> closed = new ArrayList<>();
     block.machines().keySet().stream()
         .filter(machine -> leader.closed(machine))
--- a/src/main/java/org/mulleinshift/coordination/BlockHolder.java
+++ b/src/main/java/org/mulleinshift/coordination/BlockHolder.java
@@ -23,7 +23,6 @@
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineType;
-import org.mulleinshift.protocol.MachineTypeId;
 import org.mulleinshift.protocol.Order;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
@@ -193,7 +192,7 @@
     Set<TaskId> named = new HashSet<>();
     leftAlone.clear();
     for (AssignedJob job : assignment.getJobs()) {
-      PlacementNeed need = needOf(job);
+      PlacementNeed need = PlacementNeed.of(job);
       JobId id = new JobId(job.getJob());
       if (job.getTasks().isEmpty()) {
         leftAlone.add(id);
@@ -225,16 +224,6 @@
     }
   }
 
-  private static PlacementNeed needOf(AssignedJob job) {
-    return new PlacementNeed(
-        new Resources(job.getCpus(), job.getGpus(), job.getMemoryGb()),
-        job.getImage(),
-        job.getImageGb(),
-        job.getMachineTypes().stream().map(MachineTypeId::new).toList(),
-        Optional.empty(),
-        job.getSpotAllowed());
-  }
-
   private void take(TaskId id, AssignedJob job, AssignedTask item, PlacementNeed need) {
     HeldTask known = tasks.get(id);
     Attempt attempt = new Attempt(item.getAttempt());
@@ -410,7 +399,7 @@
       LOG.error("{} is on {} and on {}", task.task(), task.machine(), machine.id());
       return;
     }
-    TaskPhase phase = phaseOf(entry);
+    TaskPhase phase = TaskPhase.of(entry);
     if (phase == TaskPhase.RUNNING) {
       double cache =
           around.catalog().type(machine.record().type()).map(MachineType::cacheGb).orElse(0.0);
@@ -423,21 +412,6 @@
     }
   }
 
-  private static TaskPhase phaseOf(WorkerReport.Entry entry) {
-    return switch (entry.state()) {
-      case FETCHING, WAITING -> TaskPhase.FETCHING;
-      case RUNNING -> TaskPhase.RUNNING;
-      case SAVING -> TaskPhase.SAVING;
-      case EXITED ->
-          switch (entry.cause()) {
-            case DONE -> TaskPhase.DONE;
-            case STOPPED -> TaskPhase.STOPPED;
-            case NO_ROOM, BUSY, GANG_BROKEN, UNKNOWN -> TaskPhase.REJECTED;
-            case NONE, ERROR -> TaskPhase.FAILED;
-          };
-    };
-  }
-
   /**
    * Everything the machine still has to do, in one go: every order can be repeated. What must stop
    * comes first: an answer that reaches the worker then never keeps it alive without telling it so.
@@ -577,22 +551,22 @@
     waiting.sort(Comparator.comparingInt(HeldTask::rank));
     Set<TaskId> straying = new HashSet<>();
     machines.values().forEach(m -> m.strays().forEach(entry -> straying.add(entry.task())));
-    Resources least = Hopeless.leastOf(waiting, HeldTask::need);
+    Resources least = UnplaceableNeeds.leastOf(waiting, HeldTask::need);
     List<Room> rooms = rooms(least);
-    Hopeless hopeless = new Hopeless();
+    UnplaceableNeeds unplaceable = new UnplaceableNeeds();
     SteadyTime now = loop.now();
     for (HeldTask task : waiting) {
       if (task.stopRequested() || around.cancelled().test(task.task().job())) {
         finish(task, TaskPhase.STOPPED);
       } else if (!straying.contains(task.task())) {
         Optional<Room> room =
-            hopeless.covers(task.need()) ? Optional.empty() : Placer.choose(task.need(), rooms);
+            unplaceable.covers(task.need()) ? Optional.empty() : Placer.choose(task.need(), rooms);
         if (room.isPresent()) {
           room.get().take(task.need());
           move(task, TaskPhase.STARTING, room.get().machine());
           machines.get(room.get().machine()).ordersWaiting(true);
         } else {
-          hopeless.add(task.need());
+          unplaceable.add(task.need());
           if (now.isAfter(task.takenAt().plus(UNPLACEABLE))) {
             finish(task, TaskPhase.REJECTED);
           }
@@ -682,19 +656,7 @@
   }
 
   private static Optional<InetSocketAddress> addressOf(HeldMachine machine) {
-    return addressOf(machine.address());
-  }
-
-  /** Where a worker takes direct orders and questions, by its reports. */
-  static Optional<InetSocketAddress> addressOf(String text) {
-    int colon = text.lastIndexOf(':');
-    try {
-      return Optional.of(
-          new InetSocketAddress(
-              text.substring(0, Math.max(0, colon)), Integer.parseInt(text.substring(colon + 1))));
-    } catch (IllegalArgumentException e) {
-      return Optional.empty();
-    }
+    return WorkerAddress.parse(machine.address());
   }
 
   /** Where the machines that have reported take direct orders. */
--- a/src/main/java/org/mulleinshift/coordination/Controller.java
+++ b/src/main/java/org/mulleinshift/coordination/Controller.java
@@ -67,22 +67,9 @@
   /** A leader that falls silent is missed soon. */
   private static final Duration LEADER_HEARTBEAT = Duration.ofMillis(300);
 
-  private static final double LEADER_WRITES = 0.75;
-  private static final double OTHER_WRITES = 0.4;
-
-  /** Users come in bursts: a share of a few writes a second would refuse them all the time. */
-  private static final double LEAST_WRITES = 0.2;
-
-  private static final double WATCH_SHARE = 0.25;
-
-  /** Calls of its own by which a node learns of its link: this share of the state's requests. */
-  private static final double PROBE_SHARE = 0.05;
-
   /** Larger frames are left to the way that heals: what they say is said again in parts. */
   private static final int LONGEST_RELAYED = 1 << 18;
 
-  private static final Duration LEAST_PROBE = Duration.ofMillis(500);
-
   /** The ways out of the process. */
   public record Outside(
       EventLoop loop,
@@ -93,12 +80,6 @@
       PeerLink peers,
       HeapMargin margin) {}
 
-  /** How long a probe waits for a process that starts: well below the prober's second. */
-  private static final Duration READY_STEP = Duration.ofMillis(50);
-
-  private static final int READY_STEPS = 14;
-  private static final int MOST_PROBES_WAITING = 8;
-
   private final EventLoop loop;
   private final PlatformSettings settings;
   private final Tunables tunables;
@@ -106,6 +87,7 @@
   private final PeerLink peers;
   private final HeapMargin margin;
   private final PeerCodec codec = new PeerCodec();
+  private final StateRates rates;
   private final StateStore store;
   private final ControlView view = new ControlView();
   private final PrefixView control;
@@ -120,15 +102,14 @@
   private final Election election;
   private final Builds builds;
   private final Catalog catalog;
-  private final HolderDesk desk;
+  private final HeldBlocks heldBlocks;
   private final Frontend frontend;
   private final RunTimes runTimes = new RunTimes();
   private final StandbyAdvice advice;
   private final Fleet.Cloud cloud;
   private final List<NodeId> otherZoneFirst = new ArrayList<>();
+  private final Readiness readiness;
   private Optional<Leader> leader = Optional.empty();
-  private boolean hasBeenReady;
-  private int probesWaiting;
   private boolean jobsKnown;
   private long badFrames;
 
@@ -144,7 +125,7 @@
         .forEach(member -> otherZoneFirst.add(new NodeId(member.label())));
     this.margin = outside.margin();
     PlatformSettings.Cluster cluster = settings.cluster();
-    double share = 1.0 / Math.max(1, cluster.size());
+    this.rates = new StateRates(cluster);
     this.store =
         new StateStore(
             loop,
@@ -152,19 +133,20 @@
             outside.watches(),
             settings.state(),
             new StateStore.Rates(
-                cluster.state().requestsPerSecond() * Math.min(1, share * 1.4),
-                writeRate(false),
+                rates.requests(),
+                rates.writes(false),
                 cluster.state().requestsLeft(),
                 cluster.state().writesLeft()));
-    Duration spacing = watchSpacing(cluster);
+    Duration spacing = rates.watchSpacing();
     this.control = new PrefixView(loop, store, Keys.CONTROL, spacing, new ControlListener());
     this.jobs = new PrefixView(loop, store, Keys.ACTIVE, spacing, new JobListener());
+    this.readiness = new Readiness(loop, this::ready);
     this.links = new Links(loop, self);
     this.stateLink =
         new StateLink(
             loop,
             tunables.seconds(Tunables.Key.STATE_LOST_S),
-            probeSpacing(cluster),
+            rates.probeSpacing(),
             this::probe,
             new StateLinkListener());
     store.tell(stateLink);
@@ -200,8 +182,8 @@
             new PeerProofs.Parts(store, stateLink, links, session, view, control, jobs),
             this::send);
     this.catalog = new Catalog(loop, outside.cloud(), settings.cloud(), this::onSessionChange);
-    this.desk =
-        new HolderDesk(
+    this.heldBlocks =
+        new HeldBlocks(
             self,
             view,
             session,
@@ -213,7 +195,7 @@
                 blockLease,
                 cancelled::contains,
                 this::onBlockNews),
-            new HolderDesk.Peers(
+            new HeldBlocks.Peers(
                 settings.members().stream().map(m -> new NodeId(m.label())).toList(),
                 this::answersWorkers,
                 this::onWorkerLink),
@@ -238,31 +220,6 @@
             new RateBudget(loop, cluster.cloudLimits().requestsPerSecond() * 0.6));
   }
 
-  /** The leader writes most: all progress of jobs and machines. The others accept and cancel. */
-  private double writeRate(boolean leading) {
-    int others = Math.max(1, settings.cluster().size() - 1);
-    double share =
-        leading || settings.cluster().size() == 1
-            ? LEADER_WRITES
-            : Math.max(LEAST_WRITES, OTHER_WRITES / others);
-    return settings.cluster().state().writesPerSecond() * share;
-  }
-
-  /**
-   * Every change that is watched costs each controller a request: they share a part of the rate.
-   */
-  private static Duration watchSpacing(PlatformSettings.Cluster cluster) {
-    double watches = 2.0 * cluster.size();
-    double seconds = watches / (WATCH_SHARE * cluster.state().requestsPerSecond());
-    return Duration.ofMillis((long) (1000 * seconds));
-  }
-
-  private static Duration probeSpacing(PlatformSettings.Cluster cluster) {
-    double probes = PROBE_SHARE * cluster.state().requestsPerSecond() / cluster.size();
-    Duration spacing = Duration.ofMillis((long) (1000 / probes));
-    return spacing.compareTo(LEAST_PROBE) < 0 ? LEAST_PROBE : spacing;
-  }
-
   private static Duration shorter(Duration one, Duration other) {
     return one.compareTo(other) < 0 ? one : other;
   }
@@ -275,7 +232,7 @@
     control.start();
     jobs.start();
     catalog.start();
-    desk.start();
+    heldBlocks.start();
     succession.start();
     loop.onStandstill(this::stoodStill);
     beatRegularly();
@@ -285,7 +242,7 @@
   public void handle(String method, String path, String body, Responder responder) {
     if (path.equals(WorkerCodec.CHECKIN)) {
       if (only("POST", method, responder)) {
-        desk.checkin(body, responder);
+        heldBlocks.checkin(body, responder);
       }
     } else if (path.equals(JobCodec.RUNS)) {
       if (only("POST", method, responder)) {
@@ -295,7 +252,7 @@
       handleJob(method, path.substring(JobCodec.RUNS.length() + 1), responder);
     } else if (path.equals("/ready")) {
       if (only("GET", method, responder)) {
-        answerReady(responder);
+        readiness.answer(responder);
       }
     } else {
       responder.respond(404, JobCodec.error("no such path"));
@@ -326,33 +283,6 @@
     return false;
   }
 
-  /**
-   * A probe that meets a process which is about to be ready waits for that: two that fail keep the
-   * node out of use for seconds, though it serves again a moment later. What it hears is true.
-   */
-  private void answerReady(Responder responder) {
-    if (!ready() && !hasBeenReady && probesWaiting < MOST_PROBES_WAITING) {
-      probesWaiting++;
-      loop.after(READY_STEP, () -> awaitReady(responder, READY_STEPS - 1));
-    } else {
-      tellReady(responder);
-    }
-  }
-
-  private void awaitReady(Responder responder, int steps) {
-    if (!ready() && !hasBeenReady && steps > 0) {
-      loop.after(READY_STEP, () -> awaitReady(responder, steps - 1));
-    } else {
-      probesWaiting--;
-      tellReady(responder);
-    }
-  }
-
-  private void tellReady(Responder responder) {
-    hasBeenReady |= ready();
-    responder.respond(ready() ? 200 : 503, "{}");
-  }
-
   /** Not ready while only this node is without the state service: others can do better. */
   private boolean ready() {
     boolean started = session.state() == Session.State.HELD && jobsKnown && catalog.known();
@@ -362,7 +292,7 @@
   /** How a controller stands to its workers, by its own word. */
   private WorkerLink.State hearing(NodeId node) {
     if (node.equals(self)) {
-      return desk.hearing();
+      return heldBlocks.hearing();
     }
     return links.word(node).map(Links::workers).orElse(WorkerLink.State.WELL);
   }
@@ -401,7 +331,7 @@
             session.hold().map(hold -> hold.value()).orElse(0L),
             stateLink.silence().toMillis(),
             stateLink.state() == StateLink.State.LOST,
-            desk.hearing().name(),
+            heldBlocks.hearing().name(),
             seen.map(record -> record.node().value()).orElse(""),
             seen.map(record -> record.term().value()).orElse(0L),
             election.leading() ? succession.choose(otherZoneFirst) : "",
@@ -412,7 +342,7 @@
 
   private boolean linksWell() {
     return stateLink.state() == StateLink.State.SERVED
-        && desk.hearing() == WorkerLink.State.WELL
+        && heldBlocks.hearing() == WorkerLink.State.WELL
         && control.state() == PrefixView.State.WATCHING;
   }
 
@@ -467,7 +397,7 @@
   private void stoodStill(Duration gap) {
     LOG.warn("stood still for {} ms", gap.toMillis());
     links.stoodStill();
-    desk.stoodStill();
+    heldBlocks.stoodStill();
   }
 
   private void send(NodeId node, Object body) {
@@ -549,11 +479,11 @@
     if (body instanceof Heartbeat beat) {
       onBeat(sender, beat);
     } else if (body instanceof Assignment assignment) {
-      desk.onAssignment(assignment);
+      heldBlocks.onAssignment(assignment);
     } else if (body instanceof BlockReport report) {
       leader.ifPresent(term -> term.onBlockReport(report));
     } else if (body instanceof ReportsSeen seen) {
-      desk.onReportsSeen(seen);
+      heldBlocks.onReportsSeen(seen);
     } else if (body instanceof StrangerReport report) {
       leader.ifPresent(term -> term.onStranger(report));
     } else if (body instanceof Knock knock) {
@@ -599,8 +529,8 @@
   }
 
   private void onSessionChange() {
-    if (desk != null) {
-      desk.onControlChange();
+    if (heldBlocks != null) {
+      heldBlocks.onControlChange();
       observeElection();
     }
   }
@@ -616,12 +546,12 @@
   }
 
   private void onBlockNews() {
-    desk.reportSoon();
+    heldBlocks.reportSoon();
   }
 
   private void onCancelled(JobId job) {
     if (cancelled.add(job)) {
-      desk.onCancelled(job);
+      heldBlocks.onCancelled(job);
     }
   }
 
@@ -663,7 +593,7 @@
         grantsChanged = false;
         session.verifySoon();
       }
-      desk.onControlChange();
+      heldBlocks.onControlChange();
       leader.ifPresent(Leader::onControlChange);
       observeElection();
     }
@@ -728,7 +658,7 @@
               cloud,
               term);
       leader = Optional.of(next);
-      store.writeRate(writeRate(true));
+      store.writeRate(rates.writes(true));
       next.start();
     }
 
@@ -736,7 +666,7 @@
     public void lost() {
       leader.ifPresent(Leader::retire);
       leader = Optional.empty();
-      store.writeRate(writeRate(false));
+      store.writeRate(rates.writes(false));
       loop.after(Duration.ofMillis(500), Controller.this::observeElection);
     }
   }
--- a/src/main/java/org/mulleinshift/coordination/Draining.java
+++ b/src/main/java/org/mulleinshift/coordination/Draining.java
@@ -131,7 +131,7 @@
       Job job = leader.jobs().get(delegation.task().job());
       needs.merge(PlacementNeed.of(job.spec()), 1, Integer::sum);
     }
-    Resources least = Hopeless.leastOf(needs.keySet(), need -> need);
+    Resources least = UnplaceableNeeds.leastOf(needs.keySet(), need -> need);
     for (Room room : rooms.values()) {
       if (room != candidate && least.fitsInto(room.free())) {
         trial.put(room.machine(), room.copy());
--- a/src/main/java/org/mulleinshift/coordination/Fleet.java
+++ b/src/main/java/org/mulleinshift/coordination/Fleet.java
@@ -326,7 +326,7 @@
     Map<Market.Offer, Integer> wanted = new LinkedHashMap<>();
     // Only machines that have room left for some group: a long queue rents for many.
     List<Room> open = new ArrayList<>();
-    Resources least = Hopeless.leastOf(shortage, Walk.Waiting::need);
+    Resources least = UnplaceableNeeds.leastOf(shortage, Walk.Waiting::need);
     for (Walk.Waiting group : shortage) {
       int left = group.count() - Placer.fill(group.need(), group.count(), open);
       while (left > 0) {
--- a/src/main/java/org/mulleinshift/coordination/FleetPlan.java
+++ b/src/main/java/org/mulleinshift/coordination/FleetPlan.java
@@ -138,16 +138,16 @@
     }
     // All that is placed takes its room first: then most machines of a busy fleet are full, and
     // need not be looked at again for each job.
-    Resources least = Hopeless.leastOf(unplaced, Unplaced::need);
+    Resources least = UnplaceableNeeds.leastOf(unplaced, Unplaced::need);
     List<Room> open = new ArrayList<>();
     for (Room room : byMachine.values()) {
       if (least.fitsInto(room.free())) {
         open.add(room);
       }
     }
-    Hopeless hopeless = new Hopeless();
+    UnplaceableNeeds unplaceable = new UnplaceableNeeds();
     for (Unplaced group : unplaced) {
-      if (hopeless.covers(group.need)) {
+      if (unplaceable.covers(group.need)) {
         continue;
       }
       int placed =
@@ -162,7 +162,7 @@
                 }
               });
       if (placed < group.count) {
-        hopeless.add(group.need);
+        unplaceable.add(group.need);
       }
     }
   }
--- a/src/main/java/org/mulleinshift/coordination/FreeRoom.java
+++ b/src/main/java/org/mulleinshift/coordination/FreeRoom.java
@@ -50,7 +50,7 @@
       }
       Resources least = leastAsked;
       for (JobId job : unplaced.keySet()) {
-        least = Hopeless.least(least, leader.jobs().get(job).spec().perTask());
+        least = UnplaceableNeeds.least(least, leader.jobs().get(job).spec().perTask());
       }
       List<Room> found = roomsOf(block, least);
       unplaced.forEach(
--- a/src/main/java/org/mulleinshift/coordination/Frontend.java
+++ b/src/main/java/org/mulleinshift/coordination/Frontend.java
@@ -125,6 +125,7 @@
 
   void onNoLongerActive(JobId id) {
     active.remove(id);
+    accepted.accepted(id);
     orphans.onNoLongerActive(id);
   }
 
--- a/src/main/java/org/mulleinshift/coordination/HolderDesk.java
+++ b/src/main/java/org/mulleinshift/coordination/HeldBlocks.java
@@ -37,8 +37,8 @@
 import org.slf4j.LoggerFactory;
 
 /** The blocks that this node holds; sends workers of other blocks to their holders. */
-final class HolderDesk {
-  private static final Logger LOG = LoggerFactory.getLogger(HolderDesk.class);
+final class HeldBlocks {
+  private static final Logger LOG = LoggerFactory.getLogger(HeldBlocks.class);
   private static final Duration TICK = Duration.ofMillis(250);
   private static final Duration REPORT_SPACING = Duration.ofMillis(80);
   private static final Duration REPORT_AT_LEAST = Duration.ofSeconds(1);
@@ -64,7 +64,7 @@
   private boolean reportPlanned;
   private long badReports;
 
-  HolderDesk(
+  HeldBlocks(
       NodeId self,
       ControlView view,
       Session session,
@@ -276,7 +276,7 @@
    * copy, and the machine long gone: only one that can be asked is there.
    */
   private void ask(WorkerReport report, Runnable ifThere) {
-    Optional<InetSocketAddress> address = BlockHolder.addressOf(report.address());
+    Optional<InetSocketAddress> address = WorkerAddress.parse(report.address());
     if (address.isEmpty() || asked.size() >= MOST_ASKED || !asked.add(report.machine())) {
       return;
     }
--- a/src/main/java/org/mulleinshift/coordination/Leader.java
+++ b/src/main/java/org/mulleinshift/coordination/Leader.java
@@ -3,11 +3,9 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
@@ -23,11 +21,9 @@
 import org.mulleinshift.bookkeeping.LeaderJournal;
 import org.mulleinshift.bookkeeping.StateStore;
 import org.mulleinshift.bookkeeping.StateStore.Answer;
-import org.mulleinshift.coordination.membership.BlockSharing;
-import org.mulleinshift.coordination.membership.HolderFitness;
 import org.mulleinshift.coordination.membership.WorkerLink;
 import org.mulleinshift.coordination.rollout.Builds;
-import org.mulleinshift.coordination.rollout.SetAside;
+import org.mulleinshift.coordination.rollout.UnreadableJobs;
 import org.mulleinshift.protocol.BlockId;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.MachineId;
@@ -36,7 +32,6 @@
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
-import org.mulleinshift.protocol.StateCodec.Write;
 import org.mulleinshift.protocol.TeamId;
 import org.mulleinshift.protocol.ZoneId;
 import org.mulleinshift.protocol.peer.BlockReport;
@@ -64,7 +59,9 @@
   private static final Duration DIGEST = Duration.ofSeconds(1);
   private static final Duration RESEND = Duration.ofMillis(700);
   private static final int CYCLE_SHARE = 4;
-  private static final Duration KNOCKED = Duration.ofSeconds(5);
+
+  /** Share of the state service's requests that transactions of the leader use. */
+  private static final double JOURNAL_REQUESTS = 0.2;
 
   /** What ends a job is stored as one. */
   private static final int LEAST_BATCH = 2;
@@ -112,10 +109,9 @@
   private final Fleet fleet;
   private final Headroom headroom;
   private final SchedulingCycle scheduling;
-  private final BlockSharing sharing;
-  private final HolderFitness fitness;
+  private final BlockGrants grants;
   private final List<JobRecord> early = new ArrayList<>();
-  private final SetAside setAside = new SetAside();
+  private final UnreadableJobs unreadable = new UnreadableJobs();
   private State state = State.LOADING;
   private Revision loadedAt = new Revision(0);
   private SteadyTime lastCycle;
@@ -134,6 +130,7 @@
             around.store(),
             term,
             batch(around.settings().cluster().state()),
+            spacing(around.settings().cluster().state()),
             around.resign());
     this.progress =
         new ProgressKeeper(this, around, journal, batch(around.settings().cluster().state()));
@@ -152,9 +149,7 @@
             around.tunables().seconds(Tunables.Key.HEADROOM_LASTS_S));
     this.scheduling = new SchedulingCycle(this, around, term, freeRoom);
     this.fleet = new Fleet(this, around, cloud, term);
-    this.fitness = new HolderFitness(around.hearing());
-    this.sharing =
-        new BlockSharing(around.self(), zonesOf(around.self(), around.settings()), loop.now());
+    this.grants = new BlockGrants(this, around, journal);
   }
 
   /** A batch above what the service lets through at once would be refused for ever. */
@@ -163,6 +158,12 @@
     return Math.min(limits.leastTxnOps(), Math.max(LEAST_BATCH, burst));
   }
 
+  /** Transactions follow each other so that the other requests find room. */
+  private static Duration spacing(PlatformSettings.State limits) {
+    double requests = limits.requestsPerSecond() * limits.requestsLeft() * JOURNAL_REQUESTS;
+    return Duration.ofNanos((long) (1e9 / requests));
+  }
+
   /** The only place where the state changes. */
   private void moveTo(State next) {
     LOG.info("term {}: {} -> {}", term, state, next);
@@ -235,12 +236,12 @@
 
   /** Holders hear no more of the job's tasks, and leave alone what runs of them. */
   void putAside(JobId id, JsonNode record, String why) {
-    setAside.add(id, record, why);
+    unreadable.add(id, record, why);
     Job job = jobs.remove(id);
     chains.drop(id);
     if (job != null) {
       for (Delegation delegation : job.delegations()) {
-        setAside.mayBeAt(delegation.block());
+        unreadable.mayBeAt(delegation.block());
         if (state == State.LEADING) {
           occupancy.leave(delegation);
           untell(delegation);
@@ -261,7 +262,14 @@
       return;
     }
     around.view().blocks().forEach(this::adoptBlock);
-    load(Keys.PROGRESS, progress::load, () -> load(Keys.RENTALS, this::loadRentals, this::begin));
+    load(Keys.LOG, progress.loader()::loadSegments, this::loadParts);
+  }
+
+  private void loadParts() {
+    load(
+        Keys.PROGRESS,
+        progress.loader()::loadParts,
+        () -> load(Keys.RENTALS, this::loadRentals, this::begin));
   }
 
   private void adoptBlock(BlockId id, ControlView.BlockRecord record) {
@@ -299,6 +307,7 @@
   }
 
   private void begin() {
+    progress.loader().finish();
     moveTo(State.LEADING);
     around.advice().apply(fleet.boots());
     jobs.values().forEach(this::enter);
@@ -363,6 +372,10 @@
     return jobs;
   }
 
+  Fleet fleet() {
+    return fleet;
+  }
+
   Occupancy occupancy() {
     return occupancy;
   }
@@ -376,7 +389,7 @@
     }
     if (state != State.LEADING
         || record.version().compareTo(loadedAt) <= 0
-        || setAside.has(record.id())) {
+        || unreadable.has(record.id())) {
       return;
     }
     Job job = known(record.id()).orElse(null);
@@ -409,7 +422,7 @@
         journal.known(Keys.grant(block.id()), seen.revision());
       }
     }
-    assignBlocks();
+    grants.assign();
     sendSoon();
   }
 
@@ -525,20 +538,20 @@
   }
 
   /** Jobs that this build can't read. */
-  SetAside setAside() {
-    return setAside;
+  UnreadableJobs unreadable() {
+    return unreadable;
   }
 
   /** What each team has out, or may have. */
   Map<TeamId, Resources> use() {
     Map<TeamId, Resources> use = Quota.use(jobs.values());
-    setAside.addUse(use);
+    unreadable.addUse(use);
     return use;
   }
 
   /** Whether a task is, may be about to be, or may unknown to this build be on the machine. */
   boolean busy(MachineId machine, BlockId block) {
-    return occupancy.busy(machine, block) || setAside.mayBeIn(block);
+    return occupancy.busy(machine, block) || unreadable.mayBeIn(block);
   }
 
   Blame blame() {
@@ -599,7 +612,7 @@
     loop.after(UPKEEP, this::upkeep);
     describeBlocks();
     progress.upkeep();
-    assignBlocks();
+    grants.assign();
     for (LeaderBlock block : blocks.values()) {
       if (block.sequenceToConfirm()) {
         confirmReports(block);
@@ -635,60 +648,7 @@
     }
   }
 
-  /**
-   * A controller that is silent for long, or has no session or no workers, holds nothing. One that
-   * lost the state service, or says that its workers are silent, keeps what it holds but gets no
-   * more: it could not take it up.
-   */
-  private void assignBlocks() {
-    if (!around.certain().getAsBoolean()) {
-      // Whoever leads by now would have to undo it.
-      return;
-    }
-    Duration limit = around.tunables().seconds(Tunables.Key.PEER_SILENT_S);
-    List<NodeId> live = new ArrayList<>(around.view().nodes().keySet());
-    live.removeIf(node -> around.peerSilence().apply(node).compareTo(limit) > 0);
-    Set<NodeId> unfit = fitness.unfit(knocks(), live, loop.now());
-    if (!unfit.containsAll(live)) {
-      live.removeAll(unfit);
-    }
-    List<NodeId> takers = new ArrayList<>(live);
-    takers.removeIf(
-        node ->
-            around.storeLost().test(node) || around.hearing().apply(node) != WorkerLink.State.WELL);
-    takers = takers.isEmpty() ? live : takers;
-    // Held by somebody that this build can't read: not its to give to others.
-    List<LeaderBlock> known = new ArrayList<>(blocks.values());
-    known.removeIf(block -> around.view().unreadableGrants().contains(block.id()));
-    for (BlockSharing.Move move :
-        sharing.moves(known, live, takers, limit.multipliedBy(2), loop.now())) {
-      LeaderBlock block = blocks.get(move.block().id());
-      LOG.info("granting {} to {}", block.id(), move.holder());
-      block.granting(Optional.of(move.holder()));
-      journal.submit(Keys.grant(block.id()), new GrantUnit(block, move.holder()));
-    }
-  }
-
-  /** How many machines of each holder reported elsewhere lately. */
-  private Map<NodeId, Integer> knocks() {
-    Map<NodeId, Integer> knocks = new HashMap<>();
-    for (LeaderBlock block : blocks.values()) {
-      int count = block.knocks(KNOCKED, loop.now());
-      block.holder().ifPresent(node -> knocks.merge(node, count, Integer::sum));
-    }
-    return knocks;
-  }
-
-  private static Map<NodeId, ZoneId> zonesOf(NodeId self, PlatformSettings settings) {
-    Map<NodeId, ZoneId> zones = new HashMap<>();
-    zones.put(self, new ZoneId(settings.zone()));
-    settings
-        .members()
-        .forEach(member -> zones.put(new NodeId(member.label()), new ZoneId(member.zone())));
-    return zones;
-  }
-
-  private void sendSoon() {
+  void sendSoon() {
     if (!sendPlanned) {
       sendPlanned = true;
       loop.post(
@@ -778,37 +738,4 @@
         .members()
         .forEach(member -> around.send().accept(new NodeId(member.label()), digest));
   }
-
-  /** A block's new holder, bound to the holder's session lease. */
-  private final class GrantUnit implements LeaderJournal.Unit {
-    private final LeaderBlock block;
-    private final NodeId holder;
-
-    GrantUnit(LeaderBlock block, NodeId holder) {
-      this.block = block;
-      this.holder = holder;
-    }
-
-    @Override
-    public List<Write> writes() {
-      ControlView.NodeRecord node = around.view().nodes().get(holder);
-      if (node == null) {
-        block.granting(Optional.empty());
-      }
-      return node == null
-          ? List.of()
-          : List.of(Write.put(Keys.grant(block.id()), ControlView.grantValue(holder), node.hold()));
-    }
-
-    @Override
-    public void committed(Revision revision) {
-      block.granting(Optional.empty());
-      block.grant(Optional.of(new LeaderBlock.Grant(holder, revision)), loop.now());
-      if (block.lastHolder(Optional.of(holder)) && journal.knows(Keys.block(block.id()))) {
-        // Only the next fall of many asks for it.
-        fleet.storeWhenIdle(block);
-      }
-      sendSoon();
-    }
-  }
 }
--- a/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
+++ b/src/main/java/org/mulleinshift/coordination/PlacementNeed.java
@@ -7,6 +7,7 @@
 import org.mulleinshift.protocol.MachineTypeId;
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.ZoneId;
+import org.mulleinshift.protocol.peer.AssignedJob;
 
 /** What a task asks of a machine. An empty list of types allows all. */
 record PlacementNeed(
@@ -26,6 +27,17 @@
         spec.spotAllowed());
   }
 
+  /** What a delegated job's tasks ask, as the leader told it; zones were decided there. */
+  static PlacementNeed of(AssignedJob job) {
+    return new PlacementNeed(
+        new Resources(job.getCpus(), job.getGpus(), job.getMemoryGb()),
+        job.getImage(),
+        job.getImageGb(),
+        job.getMachineTypes().stream().map(MachineTypeId::new).toList(),
+        Optional.empty(),
+        job.getSpotAllowed());
+  }
+
   /** The same on some types only; none are left if it allows none of them. */
   PlacementNeed onlyOn(List<MachineTypeId> some) {
     List<MachineTypeId> left = some.stream().filter(this::allowsType).toList();
--- a/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
+++ b/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
@@ -1,47 +1,61 @@
 package org.mulleinshift.coordination;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.bookkeeping.JobRecord;
 import org.mulleinshift.bookkeeping.Keys;
 import org.mulleinshift.bookkeeping.LeaderJournal;
 import org.mulleinshift.bookkeeping.Part;
+import org.mulleinshift.bookkeeping.ProgressLog;
 import org.mulleinshift.coordination.rollout.Builds;
-import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Item;
 import org.mulleinshift.protocol.StateCodec.Write;
 import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.settings.Tunables;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * The stored progress and ends of jobs, as the leader writes and reads them. Progress is written in
- * chunks, as every build reads them; a chunk too long for a value is cut into parts, but only once
- * all controllers have shown a build that reads parts: an older one would take a job's done tasks
- * in them for waiting ones.
+ * The stored progress and ends of jobs, as the leader writes them. Progress goes to the log once
+ * all controllers have shown a build that reads it; before that, and where the log does not serve,
+ * to keys of each job, in chunks as every build reads them. A chunk too long for a value is cut
+ * into parts, but only once all controllers read parts: an older build would take a job's done
+ * tasks in them for waiting ones.
  */
-final class ProgressKeeper {
+final class ProgressKeeper implements ProgressLogWriter.Listener {
   private static final Logger LOG = LoggerFactory.getLogger(ProgressKeeper.class);
 
   /** The service may count a value's bytes in a form with spaces. */
   private static final double USED_OF_VALUE = 0.85;
 
+  /** Bytes of the log that one transaction writes at most: the rest is for what goes with it. */
+  private static final int LOG_BYTES = 44_000;
+
   private final Leader leader;
   private final Leader.Surroundings around;
   private final LeaderJournal journal;
   private final int valueBytes;
   private final boolean limitsFall;
   private final int mostOps;
+  private final ProgressLog log;
+  private final ProgressLogWriter logWriter;
+  private final ProgressLoader loader;
+
+  /** Parts by chunk whose last write under a key of their own may still be carried out. */
+  private final Map<String, Set<Part>> keysInDoubt = new HashMap<>();
+
   private boolean partsAllowed;
+  private boolean logging;
 
   ProgressKeeper(Leader leader, Leader.Surroundings around, LeaderJournal journal, int mostOps) {
     this.leader = leader;
@@ -52,51 +66,47 @@
     // Else no build has stored anything longer than what fits.
     this.limitsFall = limits.leastValueBytes() < limits.valueBytes();
     this.valueBytes = (int) (USED_OF_VALUE * limits.leastValueBytes());
+    this.log = new ProgressLog(valueBytes);
+    int slots = Math.max(1, Math.min(mostOps / 2, LOG_BYTES / valueBytes));
+    this.logWriter = new ProgressLogWriter(around.loop(), journal, log, slots, this);
+    this.loader = new ProgressLoader(leader, journal, log);
   }
 
-  /** A page of stored progress; the whole of a chunk comes before its parts. */
-  void load(StateCodec.Range page) {
-    for (Item item : page.items()) {
-      Optional<Keys.ProgressKey> key = Keys.progressKey(item.key());
-      if (key.isEmpty()) {
-        LOG.warn("{}: not a key of this build, left alone", item.key());
-        continue;
-      }
-      JobId id = key.get().job();
-      if (leader.setAside().has(id)) {
-        leader.setAside().progress(item.value());
-        continue;
-      }
-      journal.known(item.key(), item.version());
-      Job job = leader.known(id).orElse(null);
-      if (job == null) {
-        // Of a job that is over. Nobody waits for it.
-        journal.submitIdle(item.key(), new DeleteUnit(item.key()));
-      } else {
-        load(job, key.get().part(), item);
-      }
-    }
-  }
-
-  private void load(Job job, Part part, Item item) {
-    try {
-      job.load(part, item.value(), leader::zoneOf);
-    } catch (BadMessage e) {
-      JsonNode record = JobRecord.value(job.spec(), job.awaits(), job.acceptedMillis(), false);
-      leader.putAside(job.spec().id(), record, e.getMessage());
-      leader.setAside().progress(item.value());
-    }
+  /** Reads what is stored, before anything is written. */
+  ProgressLoader loader() {
+    return loader;
   }
 
   /**
    * Once all controllers read parts: what an older build stored longer than the limits that come
-   * allow is written anew in parts, when nothing else waits. Each step may be the last.
+   * allow is written anew in parts, when nothing else waits. Once they read the log, progress goes
+   * there, unless the operators have switched it off: then what is there moves back to keys. Each
+   * step may be the last.
    */
   void upkeep() {
     if (!partsAllowed && around.builds().all(Builds.PARTS)) {
       partsAllowed = true;
       leader.jobs().values().forEach(this::convert);
     }
+    boolean wanted = around.tunables().number(Tunables.Key.PROGRESS_LOG) > 0;
+    if (!logging && wanted && around.builds().all(Builds.PROGRESS_LOG)) {
+      logging = true;
+    }
+    if (!wanted) {
+      leaveLog();
+    }
+  }
+
+  /** The way back to an earlier build, which reads no log. */
+  private void leaveLog() {
+    moveToKeys(log.live());
+    if (log.idle()) {
+      List<String> left = log.keys().stream().filter(journal::knows).toList();
+      left.forEach(this::removeKey);
+      if (!left.isEmpty()) {
+        LOG.info("the progress log is not needed any more: {} slots are removed", left.size());
+      }
+    }
   }
 
   private void convert(Job job) {
@@ -113,22 +123,73 @@
         open.add(part);
       }
     }
-    for (Part part : open) {
-      job.parts().changed(part, false);
-      String name = unitName(job, part.chunk());
-      journal.submitIdle(name, new ProgressUnit(job, part.chunk()));
-    }
+    open.forEach(part -> writeWhenIdle(job, part));
+  }
+
+  private void writeWhenIdle(Job job, Part part) {
+    job.parts().changed(part, false);
+    KeyedUnit unit = new KeyedUnit(chunkOf(job, part));
+    journal.submitIdle(unit.progress.name(), unit);
+  }
+
+  private ChunkProgress chunkOf(Job job, Part part) {
+    return new ChunkProgress(leader, around.loop(), job, part.chunk());
   }
 
   /** Has the progress of a task stored; pressing if its start waits for that. */
   void store(Job job, int task, boolean pressing) {
     Part part = job.partOf(task);
     job.parts().changed(part, pressing);
-    journal.submit(unitName(job, part.chunk()), new ProgressUnit(job, part.chunk()));
+    store(chunkOf(job, part));
+  }
+
+  private void store(ChunkProgress progress) {
+    if (logging && !needsKeys(progress.name())) {
+      logWriter.add(progress);
+    } else {
+      writeByKeys(progress);
+    }
+  }
+
+  @Override
+  public boolean needsKeys(String chunk) {
+    return keysInDoubt.containsKey(chunk);
+  }
+
+  @Override
+  public void writeByKeys(ChunkProgress progress) {
+    journal.submit(progress.name(), new KeyedUnit(progress));
   }
 
-  private static String unitName(Job job, int chunk) {
-    return Keys.progress(job.spec().id(), Part.chunk(chunk));
+  @Override
+  public void stored(List<ChunkProgress> stored) {
+    stored.forEach(this::cleanUp);
+    compact();
+  }
+
+  /** After a chunk's changes were stored: what is no longer read goes, and the job may end. */
+  private void cleanUp(ChunkProgress progress) {
+    progress.outgrown().forEach(part -> remove(progress.job(), part));
+    leader.settle(progress.job());
+    leader.cycleSoon();
+  }
+
+  /** Keeps the log short: what a new leader reads is bounded by what is live in it. */
+  private void compact() {
+    for (ProgressLog.Image image : log.toCompact()) {
+      Job job = leader.known(image.job()).orElse(null);
+      if (job != null) {
+        job.parts().changed(image.part(), false);
+        store(chunkOf(job, image.part()));
+      }
+    }
+    moveToKeys(log.toMoveOut());
+  }
+
+  private void moveToKeys(List<ProgressLog.Image> images) {
+    for (ProgressLog.Image image : images) {
+      leader.known(image.job()).ifPresent(job -> writeWhenIdle(job, image.part()));
+    }
   }
 
   /** Has the end of a job stored, whose state allows it. */
@@ -138,95 +199,80 @@
     job.beginEnd();
   }
 
-  /** Done and delegated tasks of a chunk of a job: those of its parts that have changed. */
-  private final class ProgressUnit implements LeaderJournal.Unit {
-    private final Job job;
-    private final int chunk;
-    private List<Part> parts = List.of();
-    private List<Delegation> written = List.of();
-    private List<Delegation> ended = List.of();
+  /** Changed parts of a chunk, each under a key of its own. */
+  private final class KeyedUnit implements LeaderJournal.Unit {
+    private final ChunkProgress progress;
 
-    ProgressUnit(Job job, int chunk) {
-      this.job = job;
-      this.chunk = chunk;
+    KeyedUnit(ChunkProgress progress) {
+      this.progress = progress;
     }
 
     @Override
     public boolean pressing() {
-      return job.parts().pressing(chunk);
+      return progress.pressing();
     }
 
     @Override
     public List<Write> writes() {
-      boolean over = job.state() == Job.State.ENDING || job.state() == Job.State.ENDED;
-      if (over || leader.setAside().has(job.spec().id())) {
+      if (logWriter.inDoubt(progress.name())) {
+        // The log's next write takes it along.
         return List.of();
       }
-      Map<Part, Write> forms = new HashMap<>();
-      parts = new ArrayList<>();
-      List<Part> waiting = job.parts().waiting(chunk);
-      while (waiting.stream().anyMatch(part -> cut(part, forms))) {
-        waiting = job.parts().waiting(chunk);
-      }
-      for (Part part : waiting) {
-        if (parts.size() < mostOps) {
-          parts.add(part);
-        }
-      }
-      parts.forEach(job.parts()::sent);
-      written = select(Delegation.State.WRITING);
-      ended = select(Delegation.State.ENDED);
-      return parts.stream().map(forms::get).toList();
-    }
-
-    /** Works out the part's form; if that is too long the part is cut instead. */
-    private boolean cut(Part part, Map<Part, Write> forms) {
-      if (forms.containsKey(part)) {
-        return false;
-      }
-      Write write = Write.put(Keys.progress(job.spec().id(), part), job.progress(part));
-      if (partsAllowed && part.divisible() && write.bytes() > valueBytes) {
-        job.split(part);
-        return true;
+      List<ChunkProgress.Form> chosen =
+          progress.forms(valueBytes, partsAllowed).stream().limit(mostOps).toList();
+      progress.sent(chosen);
+      List<Write> writes = new ArrayList<>();
+      for (ChunkProgress.Form form : chosen) {
+        keysInDoubt.computeIfAbsent(progress.name(), key -> new HashSet<>()).add(form.part());
+        writes.add(Write.put(Keys.progress(id(), form.part()), form.progress()));
       }
-      forms.put(part, write);
-      return false;
+      return writes;
     }
 
-    private List<Delegation> select(Delegation.State wanted) {
-      return parts.stream()
-          .flatMap(part -> job.delegations(part).stream())
-          .filter(delegation -> delegation.state() == wanted)
-          .toList();
+    private JobId id() {
+      return progress.job().spec().id();
     }
 
     @Override
     public void committed(Revision revision) {
-      job.parts().stored(parts);
-      job.stored(written, ended, revision);
-      if (!written.isEmpty()) {
-        job.told(around.loop().wallMillis());
+      certain();
+      for (Part part : progress.sentParts()) {
+        log.release(new ProgressLog.Image(id(), part));
       }
-      // Ends first: a task that comes back to the same block is told as a new one.
-      ended.forEach(leader::untell);
-      written.forEach(leader::tell);
-      if (!job.parts().waiting(chunk).isEmpty()) {
-        journal.submit(unitName(job, chunk), new ProgressUnit(job, chunk));
+      progress.stored(revision);
+      if (progress.waits()) {
+        store(progress);
+      }
+      cleanUp(progress);
+    }
+
+    /** What was written is known; a part that was cut since is read for nothing. */
+    private void certain() {
+      Set<Part> doubtful = keysInDoubt.getOrDefault(progress.name(), new HashSet<>());
+      doubtful.removeAll(progress.sentParts());
+      doubtful.removeIf(part -> !progress.job().parts().live().contains(part));
+      if (doubtful.isEmpty()) {
+        keysInDoubt.remove(progress.name());
       }
-      job.parts().outgrown(chunk).forEach(part -> remove(job, part));
-      leader.settle(job);
-      leader.cycleSoon();
     }
   }
 
   private void remove(Job job, Part part) {
+    log.release(new ProgressLog.Image(job.spec().id(), part));
     String key = Keys.progress(job.spec().id(), part);
     if (journal.knows(key)) {
       // Nobody reads it any more: it need not compete with what tasks wait for.
       journal.submitIdle(key, new DeleteUnit(key, () -> job.parts().gone(part)));
+    } else {
+      job.parts().gone(part);
     }
   }
 
+  /** Has a key deleted that nobody reads any more. */
+  void removeKey(String key) {
+    journal.submitIdle(key, new DeleteUnit(key));
+  }
+
   /** The end of a job: from here on users hear done or cancelled, and jobs that await it may go. */
   private final class EndUnit implements LeaderJournal.Unit {
     private final Job job;
@@ -240,7 +286,7 @@
     @Override
     public List<Write> writes() {
       JobId id = job.spec().id();
-      if (leader.setAside().has(id)) {
+      if (leader.unreadable().has(id)) {
         return List.of();
       }
       atMillis = around.loop().wallMillis();
@@ -266,15 +312,24 @@
       for (int list = 0; list < job.awaits().lists(); list++) {
         String key = Keys.awaited(id, job.awaits().digest(), list);
         if (journal.knows(key)) {
-          journal.submitIdle(key, new DeleteUnit(key));
+          removeKey(key);
         }
       }
+      log.release(id);
+      forgetDoubts(job);
       job.finishEnd();
       journal.forgotten(Keys.ended(id));
       leader.ended(job, left, atMillis);
     }
   }
 
+  /** A late write of a job that is over is read for nothing. */
+  private void forgetDoubts(Job job) {
+    for (Part part : job.parts().live()) {
+      keysInDoubt.remove(ChunkProgress.name(job, part.chunk()));
+    }
+  }
+
   /** A key that is no longer needed. */
   private record DeleteUnit(String key, Runnable then) implements LeaderJournal.Unit {
     DeleteUnit(String key) {
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/ProgressLoader.java
@@ -0,0 +1,176 @@
+package org.mulleinshift.coordination;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.TreeMap;
+import org.mulleinshift.bookkeeping.Job;
+import org.mulleinshift.bookkeeping.JobRecord;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.LeaderJournal;
+import org.mulleinshift.bookkeeping.Part;
+import org.mulleinshift.bookkeeping.ProgressLog;
+import org.mulleinshift.bookkeeping.Segment;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec;
+import org.mulleinshift.protocol.StateCodec.Item;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads stored progress at the begin of a term: first the log, then the keys of parts. Of a part
+ * that stands in both, or several times in the log, the image with the highest revision counts; an
+ * image of a part that was cut gives way to those of what it was cut into.
+ */
+final class ProgressLoader {
+  private static final Logger LOG = LoggerFactory.getLogger(ProgressLoader.class);
+
+  /** The newest image of a part that was found, and its slot if it is in the log. */
+  private record Found(Revision revision, JsonNode progress, OptionalInt slot) {}
+
+  private static final Comparator<Part> WHOLE_FIRST =
+      Comparator.<Part>comparingInt(Part::chunk).thenComparing(Part::path);
+
+  private final Leader leader;
+  private final LeaderJournal journal;
+  private final ProgressLog log;
+
+  /** Of jobs that the log has images of; those of the others are taken up page by page. */
+  private final Map<JobId, Map<Part, Found>> logged = new HashMap<>();
+
+  ProgressLoader(Leader leader, LeaderJournal journal, ProgressLog log) {
+    this.leader = leader;
+    this.journal = journal;
+    this.log = log;
+  }
+
+  /** A page of the log; all of the log comes before the keys of parts. */
+  void loadSegments(StateCodec.Range page) {
+    for (Item item : page.items()) {
+      OptionalInt number = Keys.segmentNumber(item.key());
+      if (number.isEmpty()) {
+        LOG.warn("{}: not a key of this build, left alone", item.key());
+        continue;
+      }
+      journal.known(item.key(), item.version());
+      log.found(number.getAsInt());
+      try {
+        Segment.read(item.value()).forEach(entry -> found(entry, item, number.getAsInt()));
+      } catch (BadMessage e) {
+        log.pin(number.getAsInt());
+        putAsideAllOf(item, e.getMessage());
+      }
+    }
+  }
+
+  private void found(Segment.Entry entry, Item item, int slot) {
+    if (leader.unreadable().has(entry.job())) {
+      leader.unreadable().progress(entry.progress());
+      log.pin(slot);
+    } else if (leader.known(entry.job()).isPresent()) {
+      Found found = new Found(item.version(), entry.progress(), OptionalInt.of(slot));
+      logged
+          .computeIfAbsent(entry.job(), key -> newParts())
+          .merge(entry.part(), found, this::newer);
+    }
+  }
+
+  private static Map<Part, Found> newParts() {
+    return new TreeMap<>(WHOLE_FIRST);
+  }
+
+  private Found newer(Found one, Found other) {
+    return one.revision().compareTo(other.revision()) >= 0 ? one : other;
+  }
+
+  /** Nothing of a job whose newest progress may stand there is started, ended or deleted. */
+  private void putAsideAllOf(Item segment, String why) {
+    Optional<List<JobId>> named = Segment.jobsNamed(segment.value());
+    List<Job> concerned =
+        named.isPresent()
+            ? named.get().stream().flatMap(id -> leader.known(id).stream()).distinct().toList()
+            : leader.jobs().values().stream().filter(job -> mayBeIn(job, segment)).toList();
+    LOG.warn("{}: {}; {} jobs are left alone", segment.key(), why, concerned.size());
+    concerned.forEach(job -> putAside(job, segment.value(), why));
+  }
+
+  /** A cancellation rewrites a job's record, so that its version says nothing of its age. */
+  private static boolean mayBeIn(Job job, Item segment) {
+    return job.cancelled() || job.version().compareTo(segment.version()) < 0;
+  }
+
+  private void putAside(Job job, JsonNode progress, String why) {
+    JsonNode record = JobRecord.value(job.spec(), job.awaits(), job.acceptedMillis(), false);
+    leader.putAside(job.spec().id(), record, why);
+    leader.unreadable().progress(progress);
+  }
+
+  /** A page of the keys of parts; the whole of a chunk comes before its parts. */
+  void loadParts(StateCodec.Range page) {
+    for (Item item : page.items()) {
+      Optional<Keys.ProgressKey> key = Keys.progressKey(item.key());
+      if (key.isEmpty()) {
+        LOG.warn("{}: not a key of this build, left alone", item.key());
+        continue;
+      }
+      JobId id = key.get().job();
+      if (leader.unreadable().has(id)) {
+        leader.unreadable().progress(item.value());
+        continue;
+      }
+      journal.known(item.key(), item.version());
+      Job job = leader.known(id).orElse(null);
+      if (job == null) {
+        // Of a job that is over. Nobody waits for it.
+        leader.progress().removeKey(item.key());
+      } else if (logged.containsKey(id)) {
+        Found found = new Found(item.version(), item.value(), OptionalInt.empty());
+        logged.get(id).merge(key.get().part(), found, this::newer);
+      } else {
+        load(job, key.get().part(), item.value());
+      }
+    }
+  }
+
+  private boolean load(Job job, Part part, JsonNode value) {
+    try {
+      job.load(part, value, leader::zoneOf);
+      return true;
+    } catch (BadMessage e) {
+      putAside(job, value, e.getMessage());
+      return false;
+    }
+  }
+
+  /** All was read: takes up the progress of the jobs that the log has images of. */
+  void finish() {
+    logged.forEach((id, parts) -> leader.known(id).ifPresent(job -> take(job, parts)));
+    logged.entrySet().removeIf(entry -> !leader.unreadable().has(entry.getKey()));
+    // Of jobs set aside meanwhile nothing may be overwritten.
+    logged.values().forEach(parts -> parts.values().forEach(this::keep));
+    logged.clear();
+  }
+
+  private void take(Job job, Map<Part, Found> parts) {
+    for (Map.Entry<Part, Found> entry : new ArrayList<>(parts.entrySet())) {
+      Found found = entry.getValue();
+      if (!load(job, entry.getKey(), found.progress())) {
+        return;
+      }
+      Segment.Entry image = new Segment.Entry(job.spec().id(), entry.getKey(), found.progress());
+      found.slot().ifPresent(slot -> log.found(slot, image));
+    }
+  }
+
+  private void keep(Found found) {
+    leader.unreadable().progress(found.progress());
+    found.slot().ifPresent(log::pin);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/mulleinshift/coordination/ProgressLogWriter.java
@@ -0,0 +1,181 @@
+package org.mulleinshift.coordination;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.mulleinshift.bookkeeping.Keys;
+import org.mulleinshift.bookkeeping.LeaderJournal;
+import org.mulleinshift.bookkeeping.ProgressLog;
+import org.mulleinshift.bookkeeping.Segment;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StateCodec.Write;
+import org.mulleinshift.transport.EventLoop;
+
+/**
+ * Group commit of progress: what has changed of all jobs goes into few values of the log. What
+ * nobody waits for is held back for a moment, so that it shares a value with what comes next.
+ */
+final class ProgressLogWriter implements LeaderJournal.Unit {
+  /** Less than a scheduling cycle: what ends is stored with what the next cycle starts. */
+  private static final Duration LINGER = Duration.ofMillis(100);
+
+  /** What the writer asks of those who keep the progress of jobs. */
+  interface Listener {
+    /** Whether the chunk has to be written under its own keys for now. */
+    boolean needsKeys(String chunk);
+
+    /** Has a chunk written under its own keys. */
+    void writeByKeys(ChunkProgress progress);
+
+    /** The changes of these chunks are stored. */
+    void stored(List<ChunkProgress> progress);
+  }
+
+  private final EventLoop loop;
+  private final LeaderJournal journal;
+  private final ProgressLog log;
+  private final int mostSlots;
+  private final Listener listener;
+  private final Map<String, ChunkProgress> pending = new LinkedHashMap<>();
+  private final Set<String> inDoubt = new HashSet<>();
+  private List<ChunkProgress> sent = List.of();
+  private ProgressLog.Batch batch;
+  private boolean planned;
+
+  /**
+   * A writer to the log.
+   *
+   * @param mostSlots values of a transaction at most
+   */
+  ProgressLogWriter(
+      EventLoop loop, LeaderJournal journal, ProgressLog log, int mostSlots, Listener listener) {
+    this.loop = loop;
+    this.journal = journal;
+    this.log = log;
+    this.mostSlots = mostSlots;
+    this.listener = listener;
+  }
+
+  /** Has the changes of a chunk stored. */
+  void add(ChunkProgress progress) {
+    pending.putIfAbsent(progress.name(), progress);
+    plan();
+  }
+
+  private void plan() {
+    if (pressing()) {
+      journal.submit(Keys.LOG, this);
+    } else if (!planned && !pending.isEmpty()) {
+      planned = true;
+      loop.after(
+          LINGER,
+          () -> {
+            planned = false;
+            if (!pending.isEmpty()) {
+              journal.submit(Keys.LOG, this);
+            }
+          });
+    }
+  }
+
+  /** Whether a write of the chunk to the log may still be carried out. */
+  boolean inDoubt(String name) {
+    return inDoubt.contains(name);
+  }
+
+  @Override
+  public boolean pressing() {
+    return pending.values().stream().anyMatch(ChunkProgress::pressing);
+  }
+
+  @Override
+  public boolean first() {
+    return true;
+  }
+
+  @Override
+  public List<Write> writes() {
+    batch = log.begin(mostSlots);
+    sent = new ArrayList<>();
+    for (ChunkProgress progress : inTurn()) {
+      if (listener.needsKeys(progress.name())) {
+        moveToKeys(progress);
+      } else if (!take(progress)) {
+        break;
+      }
+    }
+    if (batch.empty()) {
+      // No slot is free: what waits must not wait for one.
+      inTurn().forEach(this::moveToKeys);
+    }
+    sent.forEach(progress -> inDoubt.add(progress.name()));
+    return batch.writes();
+  }
+
+  private void moveToKeys(ChunkProgress progress) {
+    pending.remove(progress.name());
+    listener.writeByKeys(progress);
+  }
+
+  private List<ChunkProgress> inTurn() {
+    List<ChunkProgress> order = new ArrayList<>();
+    pending.values().stream().filter(ChunkProgress::pressing).forEach(order::add);
+    pending.values().stream().filter(progress -> !progress.pressing()).forEach(order::add);
+    return order;
+  }
+
+  /** False if the batch is full. */
+  private boolean take(ChunkProgress progress) {
+    List<ChunkProgress.Form> chosen = new ArrayList<>();
+    boolean full = false;
+    boolean unfit = false;
+    for (ChunkProgress.Form form : progress.forms(log.longestProgress(), true)) {
+      Segment.Entry entry =
+          new Segment.Entry(progress.job().spec().id(), form.part(), form.progress());
+      boolean fits = entry.bytes() <= log.longestEntry();
+      boolean taken = fits && batch.add(entry);
+      if (taken) {
+        chosen.add(form);
+      }
+      unfit |= !fits;
+      full |= fits && !taken;
+    }
+    progress.sent(chosen);
+    if (!chosen.isEmpty()) {
+      sent.add(progress);
+    } else if (!full && !inDoubt(progress.name())) {
+      pending.remove(progress.name());
+      if (unfit) {
+        listener.writeByKeys(progress);
+      }
+    }
+    return !full;
+  }
+
+  /** The service takes less than its limits say: shorter values, and keys of each job beside. */
+  @Override
+  public void unfit() {
+    log.shorten();
+    journal.submit(Keys.LOG, this);
+  }
+
+  @Override
+  public void committed(Revision revision) {
+    log.stored(batch);
+    inDoubt.clear();
+    List<ChunkProgress> stored = sent;
+    sent = List.of();
+    for (ChunkProgress progress : stored) {
+      progress.stored(revision);
+      if (!progress.waits()) {
+        pending.remove(progress.name());
+      }
+    }
+    listener.stored(stored);
+    plan();
+  }
+}
--- a/src/main/java/org/mulleinshift/coordination/SchedulingCycle.java
+++ b/src/main/java/org/mulleinshift/coordination/SchedulingCycle.java
@@ -43,7 +43,7 @@
   private final Lateness lateness;
   private Optional<Ranking> ranking = Optional.empty();
   private Optional<Floors.Picture> picture = Optional.empty();
-  private Hopeless hopeless = new Hopeless();
+  private UnplaceableNeeds unplaceable = new UnplaceableNeeds();
 
   SchedulingCycle(Leader leader, Leader.Surroundings around, Revision term, FreeRoom freeRoom) {
     this.leader = leader;
@@ -80,7 +80,7 @@
     List<Room> rooms = freeRoom.rooms(leastAsked(order));
     Map<TeamId, Resources> inUse = leader.use();
     Attempt attempt = new Attempt((term.value() << ATTEMPT_BITS) + 1);
-    hopeless = new Hopeless();
+    unplaceable = new UnplaceableNeeds();
     beginLargest(rooms, inUse, attempt);
     claim(order, job -> job.state() == Job.State.ACTIVE, rooms, inUse, attempt);
     for (Job job : order) {
@@ -104,11 +104,11 @@
     Resources least = Resources.ENDLESS;
     for (Job job : order) {
       if (job.state() == Job.State.ACTIVE && job.waitingCount() > 0) {
-        least = Hopeless.least(least, job.spec().perTask());
+        least = UnplaceableNeeds.least(least, job.spec().perTask());
       }
     }
     for (Headroom.Kept kept : headroom.kept(loop.now())) {
-      least = Hopeless.least(least, kept.need().perTask());
+      least = UnplaceableNeeds.least(least, kept.need().perTask());
     }
     return least;
   }
@@ -160,7 +160,7 @@
     }
     // Where each task changes which zones are left, they are placed one by one.
     boolean oneByOne = job.spec().spread() || job.spec().oneZone();
-    if (!oneByOne && hopeless.covers(need)) {
+    if (!oneByOne && unplaceable.covers(need)) {
       return 0;
     }
     int[] waiting = job.waiting(allowed, loop.now());
@@ -182,7 +182,7 @@
     } else {
       placed = Placer.fill(need, waiting.length, allowedRooms(job, rooms), taker);
       if (placed < waiting.length) {
-        hopeless.add(need);
+        unplaceable.add(need);
       }
     }
     inUse.put(team, used.plus(job.spec().perTask().times(placed)));
@@ -215,7 +215,7 @@
       }
     }
     // Rooms have grown.
-    hopeless = new Hopeless();
+    unplaceable = new UnplaceableNeeds();
     for (FreeRoom.Ahead known : freeRoom.ahead()) {
       List<Room> own = rooms.stream().filter(room -> room.block().equals(known.block())).toList();
       Placer.fill(known.need(), known.count(), own);
--- a/src/main/java/org/mulleinshift/coordination/Hopeless.java
+++ b/src/main/java/org/mulleinshift/coordination/UnplaceableNeeds.java
@@ -10,7 +10,7 @@
  * What found no room while rooms only get smaller: whatever asks for as much or more, and is
  * allowed no more machines, finds none either and need not look at every machine again.
  */
-final class Hopeless {
+final class UnplaceableNeeds {
   private static final int MOST = 12;
 
   private final List<PlacementNeed> failed = new ArrayList<>();
--- a/src/main/java/org/mulleinshift/coordination/Walk.java
+++ b/src/main/java/org/mulleinshift/coordination/Walk.java
@@ -56,7 +56,7 @@
     for (Release release : releases) {
       put(release, due, horizon, 0);
     }
-    Resources least = Hopeless.leastOf(waiting, Waiting::need);
+    Resources least = UnplaceableNeeds.leastOf(waiting, Waiting::need);
     int[] left = waiting.stream().mapToInt(Waiting::count).toArray();
     Set<MachineId> used = new HashSet<>();
     for (int step = 0; step <= steps; step++) {
@@ -76,11 +76,11 @@
           open.add(room);
         }
       }
-      Hopeless hopeless = new Hopeless();
+      UnplaceableNeeds unplaceable = new UnplaceableNeeds();
       int next = step + 1;
       for (int i = 0; i < left.length && !open.isEmpty(); i++) {
         Waiting group = waiting.get(i);
-        if (left[i] > 0 && group.fromSeconds <= time && !hopeless.covers(group.need)) {
+        if (left[i] > 0 && group.fromSeconds <= time && !unplaceable.covers(group.need)) {
           left[i] -=
               Placer.fill(
                   group.need,
@@ -92,7 +92,7 @@
                     put(new Release(time + group.runSeconds, room, freed), due, horizon, next);
                   });
           if (left[i] > 0) {
-            hopeless.add(group.need);
+            unplaceable.add(group.need);
           }
         }
       }
--- a/src/main/java/org/mulleinshift/coordination/chains/AcceptedCheck.java
+++ b/src/main/java/org/mulleinshift/coordination/chains/AcceptedCheck.java
@@ -46,6 +46,11 @@
     this.seen = seen;
   }
 
+  /** A job whose record was seen: it was accepted, whatever becomes of it. */
+  public void accepted(JobId job) {
+    found.add(job);
+  }
+
   public void check(List<JobId> jobs, Consumer<Verdict> then) {
     Deque<JobId> open = new ArrayDeque<>();
     jobs.stream().filter(job -> !seen.test(job) && !found.contains(job)).forEach(open::add);
--- a/src/main/java/org/mulleinshift/coordination/rollout/Builds.java
+++ b/src/main/java/org/mulleinshift/coordination/rollout/Builds.java
@@ -28,14 +28,17 @@
   /** Since this build a chunk of progress may be cut into parts. */
   public static final int PARTS = 1;
 
-  private static final int OWN = PARTS;
+  /** Since this build progress may stand in the log. */
+  public static final int PROGRESS_LOG = 2;
+
+  private static final int OWN = PROGRESS_LOG;
 
   private final EventLoop loop;
   private final StateStore store;
   private final NodeId self;
   private final List<NodeId> members;
   private final ControlView view;
-  private boolean told;
+  private int told;
 
   /** Of all configured members, this one included. */
   public Builds(
@@ -81,8 +84,8 @@
   /** Whether all members have shown that build, or a newer one. */
   public boolean all(int build) {
     boolean all = members.stream().allMatch(node -> view.builds().getOrDefault(node, 0) >= build);
-    if (all && !told) {
-      told = true;
+    if (all && told < build) {
+      told = build;
       LOG.info("all controllers have shown build {}: its forms may be written", build);
     }
     return all;
--- a/src/main/java/org/mulleinshift/coordination/rollout/SetAside.java
+++ b/src/main/java/org/mulleinshift/coordination/rollout/UnreadableJobs.java
@@ -21,8 +21,8 @@
  * is started, stopped or forgotten, and what they may take counts as taken. They stay aside until
  * the next term.
  */
-public final class SetAside {
-  private static final Logger LOG = LoggerFactory.getLogger(SetAside.class);
+public final class UnreadableJobs {
+  private static final Logger LOG = LoggerFactory.getLogger(UnreadableJobs.class);
 
   private final Map<JobId, Footprint> jobs = new LinkedHashMap<>();
   private final Set<BlockId> blocks = new HashSet<>();
--- a/src/main/java/org/mulleinshift/settings/Tunables.java
+++ b/src/main/java/org/mulleinshift/settings/Tunables.java
@@ -95,6 +95,12 @@
         "one of the largest jobs of a class that waited this long starts some tasks before others"),
     SPARE_S(
         "spare_s", 6, 0, 3600, "how long the fleet could do without a machine before it drains"),
+    PROGRESS_LOG(
+        "progress_log",
+        1,
+        0,
+        1,
+        "1: progress goes to the log once all controllers read it; 0: to keys of each job"),
     HTTP_THREADS("http_threads", 16, 2, 256, "threads that read requests and write answers");
 
     private final String yaml;
--- a/src/test/java/org/mulleinshift/RandomScenarioTest.java
+++ b/src/test/java/org/mulleinshift/RandomScenarioTest.java
@@ -40,6 +40,12 @@
     play(RandomScenario.furtherLines(seed), seed);
   }
 
+  @ParameterizedTest(name = "progress log, seed {0}")
+  @MethodSource("seeds")
+  void keepsRulesWhereWritesOfProgressAreLost(long seed) throws SettingsException {
+    play(RandomScenario.loggedLines(seed), seed);
+  }
+
   @ParameterizedTest(name = "seed {0}")
   @MethodSource("seeds")
   void keepsRulesAndEndsJobs(long seed) throws SettingsException {
--- /dev/null
+++ b/src/test/java/org/mulleinshift/bookkeeping/ProgressLogTest.java
@@ -0,0 +1,240 @@
+package org.mulleinshift.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.mulleinshift.protocol.BadMessage;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.Json;
+import org.mulleinshift.protocol.StateCodec.Write;
+
+/** The accounts of the log: what may be overwritten, and what is certain. */
+class ProgressLogTest {
+  private static final int VALUE_BYTES = 600;
+  private static final int JOBS = 12;
+  private static final int ROUNDS = 400;
+
+  /** A state service that may carry out a transaction late. */
+  private static final class Store {
+    private record Stored(JsonNode value, int revision) {}
+
+    private record Transaction(List<Write> writes, Map<String, Integer> guards) {}
+
+    private final Map<String, Stored> keys = new TreeMap<>();
+    private final List<Transaction> late = new ArrayList<>();
+    private int revision;
+
+    Transaction transaction(List<Write> writes) {
+      Map<String, Integer> guards = new HashMap<>();
+      writes.forEach(write -> guards.put(write.key(), version(write.key())));
+      return new Transaction(writes, guards);
+    }
+
+    private int version(String key) {
+      return keys.containsKey(key) ? keys.get(key).revision() : 0;
+    }
+
+    void apply(Transaction transaction) throws BadMessage {
+      for (Map.Entry<String, Integer> guard : transaction.guards().entrySet()) {
+        if (version(guard.getKey()) != guard.getValue()) {
+          return;
+        }
+      }
+      revision++;
+      for (Write write : transaction.writes()) {
+        keys.put(write.key(), new Stored(Json.parseObject(write.value().get()), revision));
+      }
+    }
+
+    /** Of each part the image with the highest revision, as a new leader reads it. */
+    Map<ProgressLog.Image, String> newest() throws BadMessage {
+      Map<ProgressLog.Image, Integer> at = new HashMap<>();
+      Map<ProgressLog.Image, String> found = new HashMap<>();
+      for (Stored stored : keys.values()) {
+        for (Segment.Entry entry : Segment.read(stored.value())) {
+          ProgressLog.Image image = new ProgressLog.Image(entry.job(), entry.part());
+          if (stored.revision() > at.getOrDefault(image, 0)) {
+            at.put(image, stored.revision());
+            found.put(image, entry.progress().path("done").asText());
+          }
+        }
+      }
+      return found;
+    }
+  }
+
+  private static Segment.Entry entry(int job, String done) {
+    JsonNode progress = Json.object().put("done", done);
+    return new Segment.Entry(new JobId("run-" + job), Part.chunk(0), progress);
+  }
+
+  private static ProgressLog.Image image(Segment.Entry entry) {
+    return new ProgressLog.Image(entry.job(), entry.part());
+  }
+
+  /**
+   * Transactions are refused, carried out without an answer, or carried out much later, in any
+   * order: what was told as stored is what a new leader reads.
+   */
+  @Test
+  void whatIsStoredIsReadAfterLateWrites() throws BadMessage {
+    for (int seed = 1; seed <= 30; seed++) {
+      playLateWrites(seed);
+    }
+  }
+
+  private static void playLateWrites(int seed) throws BadMessage {
+    Random random = new Random(seed);
+    Store store = new Store();
+    ProgressLog log = new ProgressLog(VALUE_BYTES);
+    Map<ProgressLog.Image, String> told = new HashMap<>();
+    Map<Integer, String> pending = new TreeMap<>();
+    Set<Integer> over = new HashSet<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      for (int i = random.nextInt(4); i > 0; i--) {
+        int job = round / 10 + random.nextInt(JOBS);
+        if (!over.contains(job)) {
+          pending.put(job, Integer.toString(round));
+        }
+      }
+      if (random.nextInt(3) == 0) {
+        // The end of a job is stored: its slot may get free.
+        int job = round / 10 + random.nextInt(JOBS);
+        over.add(job);
+        pending.remove(job);
+        log.release(new JobId("run-" + job));
+      }
+      ProgressLog.Batch batch = log.begin(2);
+      List<Segment.Entry> taken = new ArrayList<>();
+      for (Map.Entry<Integer, String> change : pending.entrySet()) {
+        Segment.Entry entry = entry(change.getKey(), change.getValue());
+        if (batch.add(entry)) {
+          taken.add(entry);
+        }
+      }
+      Store.Transaction transaction = store.transaction(batch.writes());
+      switch (random.nextInt(4)) {
+        case 0 -> store.late.add(transaction);
+        case 1 -> store.apply(transaction);
+        default -> {
+          store.apply(transaction);
+          log.stored(batch);
+          taken.forEach(entry -> told.put(image(entry), entry.progress().path("done").asText()));
+          taken.forEach(entry -> pending.remove(number(entry.job())));
+          for (Store.Transaction old : store.late) {
+            store.apply(old);
+          }
+          store.late.clear();
+          told.keySet().removeIf(image -> over.contains(number(image.job())));
+          Map<ProgressLog.Image, String> newest = store.newest();
+          newest.keySet().removeIf(image -> over.contains(number(image.job())));
+          assertEquals(told, newest, "seed " + seed + ", round " + round);
+        }
+      }
+    }
+    assertTrue(log.keys().size() < ProgressLog.MOST_SLOTS, "seed " + seed);
+  }
+
+  private static int number(JobId job) {
+    return Integer.parseInt(job.value().substring("run-".length()));
+  }
+
+  @Test
+  void liveImagesAreNotOverwritten() {
+    ProgressLog log = new ProgressLog(VALUE_BYTES);
+    for (int job = 0; job < ProgressLog.MOST_SLOTS; job++) {
+      ProgressLog.Batch batch = log.begin(1);
+      assertTrue(batch.add(entry(job, "0")));
+      assertEquals(List.of("l/" + job), batch.writes().stream().map(Write::key).toList());
+      log.stored(batch);
+    }
+    assertFalse(log.begin(1).add(entry(ProgressLog.MOST_SLOTS, "0")), "no slot is free");
+    log.release(new JobId("run-7"));
+    ProgressLog.Batch batch = log.begin(1);
+    assertTrue(batch.add(entry(99, "0")));
+    assertEquals("l/7", batch.writes().get(0).key());
+  }
+
+  @Test
+  void aSparseLogIsCompacted() {
+    ProgressLog log = new ProgressLog(VALUE_BYTES);
+    for (int job = 0; job < 20; job++) {
+      ProgressLog.Batch batch = log.begin(1);
+      batch.add(entry(job, "0"));
+      log.stored(batch);
+    }
+    int moved = 0;
+    for (int step = 0; step < 10 && !log.toCompact().isEmpty(); step++) {
+      ProgressLog.Batch batch = log.begin(1);
+      for (ProgressLog.Image image : log.toCompact()) {
+        assertTrue(batch.add(new Segment.Entry(image.job(), image.part(), Json.object())));
+        moved++;
+      }
+      log.stored(batch);
+    }
+    assertTrue(moved > 0 && moved <= 40, "moved " + moved);
+    assertEquals(List.of(), log.toCompact(), "it ends");
+    assertEquals(20, log.live().size());
+  }
+
+  @Test
+  void aFullLogMovesImagesOut() {
+    ProgressLog log = new ProgressLog(VALUE_BYTES);
+    for (int job = 0; job < ProgressLog.MOST_SLOTS; job++) {
+      ProgressLog.Batch batch = log.begin(1);
+      batch.add(entry(job, "x".repeat(400)));
+      log.stored(batch);
+    }
+    assertEquals(List.of(), log.toCompact());
+    assertEquals("run-0", log.toMoveOut().get(0).job().value(), "the oldest goes first");
+  }
+
+  @Test
+  void whatCannotBeReadIsLeftAlone() {
+    ProgressLog log = new ProgressLog(VALUE_BYTES);
+    log.pin(0);
+    ProgressLog.Batch batch = log.begin(1);
+    batch.add(entry(1, "0"));
+    assertEquals("l/1", batch.writes().get(0).key());
+    assertFalse(log.idle());
+  }
+
+  /** Anything that a segment may hold is read as it was written, or refused as a whole. */
+  @Test
+  void damagedSegmentsAreRefused() throws BadMessage {
+    List<Segment.Entry> entries = List.of(entry(1, "0-4"), entry(2, "7"));
+    JsonNode value = Segment.write(entries);
+    assertEquals(entries, Segment.read(value));
+    String text = Json.write(value);
+    Random random = new Random(5);
+    int refused = 0;
+    for (int i = 0; i < 20_000; i++) {
+      StringBuilder damaged = new StringBuilder(text);
+      for (int j = 1 + random.nextInt(3); j > 0; j--) {
+        damaged.setCharAt(random.nextInt(damaged.length()), (char) (32 + random.nextInt(95)));
+      }
+      try {
+        List<Segment.Entry> read = Segment.read(Json.parseObject(damaged.toString()));
+        assertEquals(read, Segment.read(Segment.write(read)));
+      } catch (BadMessage e) {
+        refused++;
+      }
+    }
+    assertTrue(refused > 10_000, "refused " + refused);
+    assertThrows(BadMessage.class, () -> Segment.read(Json.parseObject("{\"entries\":[]}")));
+    assertEquals(List.of(), Segment.jobsNamed(Json.parseObject("{\"entries\":[]}")).get());
+    assertTrue(Segment.jobsNamed(Json.parseObject("{\"form\":2}")).isEmpty());
+  }
+}
--- a/src/test/java/org/mulleinshift/sim/RandomScenario.java
+++ b/src/test/java/org/mulleinshift/sim/RandomScenario.java
@@ -174,6 +174,56 @@
     }
   }
 
+  /**
+   * The lines of a scenario in which writes of progress get lost and come late, the limits fall,
+   * leaders end and the operators switch the log off and on, while tasks of many jobs come and go.
+   */
+  public static List<String> loggedLines(long seed) {
+    return new RandomScenario(seed).drawLogged();
+  }
+
+  private List<String> drawLogged() {
+    add("nodes %d", random.nextBoolean() ? 3 : 5);
+    add("state rps=%d writes=%d kb=2 ops=8", 150, 40);
+    add("next rps=%d writes=%d kb=1 ops=6", 100, 25);
+    add("type small cpus=8 boot=6 a=8/4 b=8/4");
+    add("team t max=70");
+    add("team u max=0");
+    add("at 3 swarm run-1 %d 1.5 tasks=4 cpus=1 run=12 due=none", 40 + random.nextInt(40));
+    add("at 4 swarm run-2 %d 9 tasks=16 cpus=1 run=30 due=none team=u", 5 + random.nextInt(8));
+    drawLongJob("run-3", 8);
+    drawLongJob("run-4", 12 + 20 * random.nextDouble());
+    add("at 6 swarm run-5 12 0.2 tasks=2 cpus=0.5 run=120 due=none");
+    if (random.nextBoolean()) {
+      add("at %.1f state fall", when());
+    }
+    for (double at = 15 + 10 * random.nextDouble(); at < LAST; at += 6 + 14 * random.nextDouble()) {
+      drawLogTrouble(at);
+    }
+    add("expect open run- max 0");
+    add("run %.0f", END + 100);
+    return lines;
+  }
+
+  private void drawLogTrouble(double at) {
+    double length = 3 + 15 * random.nextDouble();
+    double share = 0.2 + 0.7 * random.nextDouble();
+    switch (random.nextInt(10)) {
+      case 0, 1 -> add("at %.1f state late-writes %.2f %.1f delegation", at, share, length);
+      case 2 -> add("at %.1f state late-writes %.2f %.1f", at, share, length);
+      case 3 -> add("at %.1f state lost-answers %.2f %.1f delegation", at, share, length);
+      case 4 -> add("at %.1f crash %s %s", at, one("leader", "all"), one("0.05", "0.2", "1"));
+      case 5 -> add("at %.1f state mute leader %.1f", at, length);
+      case 6 -> add("at %.1f state refuse leader %.1f", at, length);
+      case 7 -> add("at %.1f stall leader %.1f", at, 1 + length / 3);
+      case 8 -> {
+        add("at %.1f operators progress_log %s", at, one("0", "1"));
+        add("at %.1f crash %s 0.2", at + 0.5, one("leader", "all"));
+      }
+      default -> add("at %.1f state late %.2f %.1f", at, 0.1 + share, length);
+    }
+  }
+
   private void drawPairs(DoubleConsumer meeting) {
     add("nodes %d", random.nextBoolean() ? 3 : 5);
     add("state rps=%d writes=%d", 100, 30);
