--- a/src/main/java/org/mulleinshift/bookkeeping/ProgressLog.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/ProgressLog.java
@@ -45,6 +45,7 @@
   private static final class Slot {
     private final int number;
     private final Map<Image, Integer> live = new LinkedHashMap<>();
+    private int liveBytes;
     private boolean pinned;
     private long writtenAt;
 
@@ -56,8 +57,16 @@
       return live.isEmpty() && !pinned;
     }
 
-    int liveBytes() {
-      return live.values().stream().mapToInt(Integer::intValue).sum();
+    void add(Image image, int bytes) {
+      live.put(image, bytes);
+      liveBytes += bytes;
+    }
+
+    /** How many bytes the image took. */
+    int remove(Image image) {
+      int bytes = live.remove(image);
+      liveBytes -= bytes;
+      return bytes;
     }
   }
 
@@ -180,7 +189,7 @@
     Image image = new Image(entry.job(), entry.part());
     release(image);
     int bytes = entry.bytes();
-    slot.live.put(image, bytes);
+    slot.add(image, bytes);
     liveBytes += bytes;
     where.put(image, slot);
     byJob.computeIfAbsent(image.job(), key -> new LinkedHashSet<>()).add(image);
@@ -192,7 +201,7 @@
     if (slot == null) {
       return;
     }
-    liveBytes -= slot.live.remove(image);
+    liveBytes -= slot.remove(image);
     Set<Image> images = byJob.get(image.job());
     images.remove(image);
     if (images.isEmpty()) {
@@ -232,8 +241,8 @@
     List<Image> images = new ArrayList<>();
     int bytes = 0;
     int emptied = 0;
-    for (Slot slot : occupied(Comparator.comparingInt(Slot::liveBytes))) {
-      bytes += slot.liveBytes();
+    for (Slot slot : occupied(Comparator.comparingInt(slot -> slot.liveBytes))) {
+      bytes += slot.liveBytes;
       if (bytes > slotBytes) {
         break;
       }
@@ -264,7 +273,11 @@
   }
 
   private int inUse() {
-    return (int) slots.values().stream().filter(slot -> !slot.free()).count();
+    int count = 0;
+    for (Slot slot : slots.values()) {
+      count += slot.free() ? 0 : 1;
+    }
+    return count;
   }
 
   /** All parts whose newest image is in the log. */
--- a/src/main/java/org/mulleinshift/bookkeeping/Segment.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/Segment.java
@@ -25,16 +25,29 @@
   private static final int ENTRY_FIELDS = 3;
   private static final int SEGMENT_FIELDS = 2;
 
+  /** Bytes of an entry's field names and marks, with a margin. */
+  private static final int ENTRY_BYTES = 40;
+
   /** Bytes of a segment without entries, with a margin. */
   private static final int EMPTY_BYTES = 64;
 
   private Segment() {}
 
-  /** The progress of one part of a job. */
-  public record Entry(JobId job, Part part, JsonNode progress) {
-    /** How long the entry is within a segment. */
-    public int bytes() {
-      return StateCodec.bytes(node(this)) + 1;
+  /**
+   * The progress of one part of a job.
+   *
+   * @param bytes how long the entry is within a segment, worked out once
+   */
+  public record Entry(JobId job, Part part, JsonNode progress, int bytes) {
+    /** An entry whose progress is that long by itself. */
+    public static Entry of(JobId job, Part part, JsonNode progress, int progressBytes) {
+      int names = StateCodec.bytes(job.value()) + part.toString().length();
+      return new Entry(job, part, progress, progressBytes + names + ENTRY_BYTES);
+    }
+
+    /** An entry of any progress. */
+    public static Entry of(JobId job, Part part, JsonNode progress) {
+      return of(job, part, progress, StateCodec.bytes(progress));
     }
   }
 
@@ -48,15 +61,15 @@
     ObjectNode segment = Json.object();
     segment.put(FORM_FIELD, FORM);
     ArrayNode list = segment.putArray(ENTRIES);
-    entries.forEach(entry -> list.add(node(entry)));
+    entries.forEach(entry -> list.add(node(entry.job(), entry.part(), entry.progress())));
     return segment;
   }
 
-  private static ObjectNode node(Entry entry) {
+  private static ObjectNode node(JobId job, Part part, JsonNode progress) {
     ObjectNode node = Json.object();
-    node.put(JOB, entry.job().value());
-    node.put(PART, entry.part().toString());
-    node.set(PROGRESS, entry.progress());
+    node.put(JOB, job.value());
+    node.put(PART, part.toString());
+    node.set(PROGRESS, progress);
     return node;
   }
 
@@ -88,7 +101,7 @@
     if (item.size() != ENTRY_FIELDS || part.isEmpty() || !item.path(PROGRESS).isObject()) {
       throw new BadMessage("an entry of another form");
     }
-    return new Entry(new JobId(Json.text(item, JOB)), part.get(), item.path(PROGRESS));
+    return Entry.of(new JobId(Json.text(item, JOB)), part.get(), item.path(PROGRESS));
   }
 
   /** Whose progress a segment of another form holds; none if not even that can be told. */
--- a/src/main/java/org/mulleinshift/coordination/ProgressLoader.java
+++ b/src/main/java/org/mulleinshift/coordination/ProgressLoader.java
@@ -164,7 +164,7 @@
       if (!load(job, entry.getKey(), found.progress())) {
         return;
       }
-      Segment.Entry image = new Segment.Entry(job.spec().id(), entry.getKey(), found.progress());
+      Segment.Entry image = Segment.Entry.of(job.spec().id(), entry.getKey(), found.progress());
       found.slot().ifPresent(slot -> log.found(slot, image));
     }
   }
--- a/src/main/java/org/mulleinshift/coordination/ProgressLogWriter.java
+++ b/src/main/java/org/mulleinshift/coordination/ProgressLogWriter.java
@@ -135,7 +135,7 @@
     boolean unfit = false;
     for (ChunkProgress.Form form : progress.forms(log.longestProgress(), true)) {
       Segment.Entry entry =
-          new Segment.Entry(progress.job().spec().id(), form.part(), form.progress());
+          Segment.Entry.of(progress.job().spec().id(), form.part(), form.progress(), form.bytes());
       boolean fits = entry.bytes() <= log.longestEntry();
       boolean taken = fits && batch.add(entry);
       if (taken) {
--- a/src/main/java/org/mulleinshift/protocol/StateCodec.java
+++ b/src/main/java/org/mulleinshift/protocol/StateCodec.java
@@ -65,7 +65,8 @@
     return bytes(Json.write(value));
   }
 
-  private static int bytes(String text) {
+  /** How long a text is for the service. */
+  public static int bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8).length;
   }
 
--- a/src/test/java/org/mulleinshift/bookkeeping/ProgressLogTest.java
+++ b/src/test/java/org/mulleinshift/bookkeeping/ProgressLogTest.java
@@ -18,6 +18,7 @@
 import org.mulleinshift.protocol.BadMessage;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.Json;
+import org.mulleinshift.protocol.StateCodec;
 import org.mulleinshift.protocol.StateCodec.Write;
 
 /** The accounts of the log: what may be overwritten, and what is certain. */
@@ -77,7 +78,7 @@
 
   private static Segment.Entry entry(int job, String done) {
     JsonNode progress = Json.object().put("done", done);
-    return new Segment.Entry(new JobId("run-" + job), Part.chunk(0), progress);
+    return Segment.Entry.of(new JobId("run-" + job), Part.chunk(0), progress);
   }
 
   private static ProgressLog.Image image(Segment.Entry entry) {
@@ -179,7 +180,7 @@
     for (int step = 0; step < 10 && !log.toCompact().isEmpty(); step++) {
       ProgressLog.Batch batch = log.begin(1);
       for (ProgressLog.Image image : log.toCompact()) {
-        assertTrue(batch.add(new Segment.Entry(image.job(), image.part(), Json.object())));
+        assertTrue(batch.add(Segment.Entry.of(image.job(), image.part(), Json.object())));
         moved++;
       }
       log.stored(batch);
@@ -211,6 +212,18 @@
     assertFalse(log.idle());
   }
 
+  /** What is counted for a segment is no less than what it takes. */
+  @Test
+  void entriesAreNotLongerThanCounted() {
+    List<Segment.Entry> entries = new ArrayList<>();
+    int counted = VALUE_BYTES - Segment.room(VALUE_BYTES);
+    for (int job = 0; job < 50; job++) {
+      entries.add(entry(job * 7919, "0-" + job));
+      counted += entries.get(job).bytes();
+    }
+    assertTrue(StateCodec.bytes(Segment.write(entries)) <= counted);
+  }
+
   /** Anything that a segment may hold is read as it was written, or refused as a whole. */
   @Test
   void damagedSegmentsAreRefused() throws BadMessage {
