--- a/src/test/java/org/mulleinshift/sim/ScaleOptions.java
+++ b/src/test/java/org/mulleinshift/sim/ScaleOptions.java
@@ -60,6 +60,9 @@
   @Option(names = "--seconds", description = "Length of the run.")
   double seconds = 60;
 
+  @Option(names = "--settle-s", description = "Time for workers to be taken up before any load.")
+  double settleSeconds = 5;
+
   @Option(names = "--warmup-s", description = "What starts before this is not measured, seconds.")
   double warmupSeconds = 20;
 
--- a/src/test/java/org/mulleinshift/sim/ScaleRun.java
+++ b/src/test/java/org/mulleinshift/sim/ScaleRun.java
@@ -28,7 +28,6 @@
 public final class ScaleRun implements Callable<Integer> {
   private static final int RULE_BROKEN = 1;
   private static final double READY_WITHIN_SECONDS = 60;
-  private static final double WORKERS_UP_SECONDS = 5;
   private static final double DRAIN_SECONDS = 12;
   private static final int IO_THREADS = 2;
   private static final int PROBE_PORT = 2379;
@@ -133,7 +132,7 @@
       cell.start();
     }
     awaitReady(cells);
-    sleep(WORKERS_UP_SECONDS);
+    sleep(options.settleSeconds);
     double begun = cells.get(0).world().seconds();
     for (ScaleCell cell : cells) {
       cell.submitUntil(cell.world().seconds() + options.seconds);
