Images of jobs that can't be read any more are not compacted

A job set aside in the middle of a term keeps its images in the log; compaction would have written the others of their slots anew at every commit without freeing any. Change: such slots are left as they are. ProgressLogTest fails without it.

--- a/src/main/java/org/mulleinshift/bookkeeping/ProgressLog.java
+++ b/src/main/java/org/mulleinshift/bookkeeping/ProgressLog.java
@@ -229,6 +229,11 @@
     slots.computeIfAbsent(number, Slot::new).pinned = true;
   }
 
+  /** Nobody may write the image anew: its slot is left as it is. */
+  public void keep(Image image) {
+    Optional.ofNullable(where.get(image)).ifPresent(slot -> slot.pinned = true);
+  }
+
   /**
    * Live images of several slots that fit into one: written anew together they leave more slots
    * free than they take.
--- a/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
+++ b/src/main/java/org/mulleinshift/coordination/ProgressKeeper.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.mulleinshift.bookkeeping.Delegation;
 import org.mulleinshift.bookkeeping.Job;
 import org.mulleinshift.bookkeeping.JobRecord;
@@ -176,19 +177,24 @@
 
   /** Keeps the log short: what a new leader reads is bounded by what is live in it. */
   private void compact() {
-    for (ProgressLog.Image image : log.toCompact()) {
-      Job job = leader.known(image.job()).orElse(null);
-      if (job != null) {
-        job.parts().changed(image.part(), false);
-        store(chunkOf(job, image.part()));
-      }
-    }
+    rewrite(log.toCompact(), (job, part) -> store(chunkOf(job, part)));
     moveToKeys(log.toMoveOut());
   }
 
   private void moveToKeys(List<ProgressLog.Image> images) {
+    rewrite(images, this::writeWhenIdle);
+  }
+
+  /** Images of jobs that this build can't read any more stay where they are. */
+  private void rewrite(List<ProgressLog.Image> images, BiConsumer<Job, Part> writer) {
     for (ProgressLog.Image image : images) {
-      leader.known(image.job()).ifPresent(job -> writeWhenIdle(job, image.part()));
+      Optional<Job> job = leader.known(image.job());
+      if (job.isPresent()) {
+        job.get().parts().changed(image.part(), false);
+        writer.accept(job.get(), image.part());
+      } else {
+        log.keep(image);
+      }
     }
   }
 
--- a/src/test/java/org/mulleinshift/bookkeeping/ProgressLogTest.java
+++ b/src/test/java/org/mulleinshift/bookkeeping/ProgressLogTest.java
@@ -190,6 +190,20 @@
     assertEquals(20, log.live().size());
   }
 
+  @Test
+  void whatNobodyMayWriteIsNotCompacted() {
+    ProgressLog log = new ProgressLog(VALUE_BYTES);
+    for (int job = 0; job < 20; job++) {
+      ProgressLog.Batch batch = log.begin(1);
+      batch.add(entry(job, "0"));
+      log.stored(batch);
+    }
+    List<ProgressLog.Image> first = log.toCompact();
+    assertFalse(first.isEmpty());
+    first.forEach(log::keep);
+    assertTrue(log.toCompact().stream().noneMatch(first::contains));
+  }
+
   @Test
   void aFullLogMovesImagesOut() {
     ProgressLog log = new ProgressLog(VALUE_BYTES);
