A block's next holder starts nothing that the one before reported as ended

A write told that a task had ended and granted its block to another controller; it was carried out late. The leader saw the grant by its watch, but not yet the answer, and told the new holder of the task, which started it; then the end was confirmed and the task given to another block as well. Change: a task whose end is not stored yet is told as one to stop.

--- a/src/main/java/org/mulleinshift/coordination/AssignmentWriter.java
+++ b/src/main/java/org/mulleinshift/coordination/AssignmentWriter.java
@@ -45,7 +45,7 @@
                     task.index(),
                     delegation.attempt().value(),
                     delegation.storedAt().compareTo(grant) > 0,
-                    delegation.stopRequested()));
+                    mustNotStart(delegation)));
       }
     }
     List<AssignedJob> assigned = new ArrayList<>();
@@ -67,6 +67,14 @@
         closed);
   }
 
+  /**
+   * Also a task whose end is not stored yet: a holder that is new to the block must not start what
+   * an earlier one has reported as ended, since it may be started elsewhere once that is stored.
+   */
+  private static boolean mustNotStart(Delegation delegation) {
+    return delegation.stopRequested() || delegation.state() == Delegation.State.ENDED;
+  }
+
   private static AssignedJob leftAlone(JobId id) {
     return new AssignedJob(id.value(), 0.0, 0.0, 0.0, "", 0.0, 0.0, List.of(), false, 0, List.of());
   }
--- a/src/test/java/org/mulleinshift/RandomScenarioTest.java
+++ b/src/test/java/org/mulleinshift/RandomScenarioTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.mulleinshift.settings.SettingsException;
@@ -46,6 +47,15 @@
     play(RandomScenario.loggedLines(seed), seed);
   }
 
+  /**
+   * The seed on which a block's next holder started what the one before had reported as ended,
+   * while the write that told so was late: it ran twice.
+   */
+  @Test
+  void anEndThatIsNotStoredYetIsNoStartForTheNextHolder() throws SettingsException {
+    play(RandomScenario.loggedLines(50), 50);
+  }
+
   @ParameterizedTest(name = "seed {0}")
   @MethodSource("seeds")
   void keepsRulesAndEndsJobs(long seed) throws SettingsException {
