--- a/src/test/java/org/mulleinshift/sim/Scenario.java
+++ b/src/test/java/org/mulleinshift/sim/Scenario.java
@@ -558,12 +558,24 @@
       case "fall" -> fall(limits.next().get());
       case "limits" -> fall(limits(fields(words, 2), java.util.Optional.empty()));
       case "late" -> state.late(Double.parseDouble(words[2]), Double.parseDouble(words[3]));
-      case "rewrite" -> state.rewrite(words[2], words[3], words[4]);
+      case "rewrite" -> rewrite(words);
       case "flood" -> state.flood(words[2], Integer.parseInt(words[3]), Integer.parseInt(words[4]));
       default -> throw new IllegalArgumentException(words[1]);
     }
   }
 
+  /** {@code rewrite KEY FIELD VALUE}; a key that ends with a star stands for all that begin so. */
+  private void rewrite(String[] words) {
+    if (words[2].endsWith("*")) {
+      String prefix = words[2].substring(0, words[2].length() - 1);
+      List<String> keys =
+          state.dump().keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+      keys.forEach(key -> state.rewrite(key, words[3], words[4]));
+    } else {
+      state.rewrite(words[2], words[3], words[4]);
+    }
+  }
+
   private static String wordOr(String[] words, int index, String standard) {
     return words.length > index ? words[index] : standard;
   }
