--- a/src/test/java/org/mulleinshift/sim/ScaleCell.java
+++ b/src/test/java/org/mulleinshift/sim/ScaleCell.java
@@ -14,10 +14,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import java.util.function.DoubleConsumer;
+import java.util.function.Supplier;
 import org.mulleinshift.transport.HttpReply;
 import org.mulleinshift.transport.HttpRequest;
 
@@ -122,17 +123,26 @@
 
   /** Runs a step on the cell's world and waits for its end. */
   void inWorld(Runnable step) {
-    CountDownLatch over = new CountDownLatch(1);
-    world.post(
+    ask(
+        world,
         () -> {
           step.run();
-          over.countDown();
+          return true;
         });
-    try {
-      over.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+  }
+
+  /** What only the thread of a world may read. */
+  private static <T> T ask(RealTimeWorld owner, Supplier<T> question) {
+    CompletableFuture<T> answer = new CompletableFuture<>();
+    owner.post(
+        () -> {
+          try {
+            answer.complete(question.get());
+          } catch (RuntimeException e) {
+            answer.completeExceptionally(e);
+          }
+        });
+    return answer.join();
   }
 
   /** Limits of the teams over the cells of this process. */
@@ -335,7 +345,7 @@
   }
 
   private ControllerProcess leader() {
-    JsonNode value = state.dump().get("c/leader");
+    JsonNode value = ask(stateWorld, () -> state.dump().get("c/leader"));
     String label = value == null ? "" : value.path("node").asText();
     return controllers.stream()
         .filter(node -> node.label().equals(label))
@@ -376,7 +386,7 @@
         cloudBytes.bytes(),
         world.processorNanos() / 1e9,
         stateWorld.processorNanos() / 1e9,
-        cloud.up().size());
+        ask(world, () -> cloud.up().size()));
   }
 
   void killControllers() {
