--- a/src/test/java/org/mulleinshift/sim/ScaleCell.java
+++ b/src/test/java/org/mulleinshift/sim/ScaleCell.java
@@ -78,7 +78,7 @@
   private final List<HttpListener> listeners = new ArrayList<>();
   private final List<ControllerProcess> controllers = new ArrayList<>();
   private final Map<String, SimWorker> byAddress = new ConcurrentHashMap<>();
-  private final Map<SimWorker, HttpConnection> connections = new HashMap<>();
+  private final Map<SimWorker, HttpConnection> connections = new ConcurrentHashMap<>();
   private final int workers;
   private int stateRequests;
   private double lastStartAt;
@@ -396,10 +396,10 @@
   /** Ends all that this cell started. */
   void stop() {
     killControllers();
-    listeners.forEach(HttpListener::close);
-    connections.values().forEach(HttpConnection::close);
     world.stop();
     stateWorld.stop();
+    listeners.forEach(HttpListener::close);
+    connections.values().forEach(HttpConnection::close);
   }
 
   private String label(int index) {
