Test tool: chosen scenarios over a range of seeds, and their log by virtual time

Reproducing a failure that comes on some seeds took a change of the test. scenario-seeds plays scenarios over a range, prints per scenario the seeds played, how many failed and what, and exits with 1 on a failure.

--- a/src/test/java/org/mulleinshift/digest/BehaviourDigest.java
+++ b/src/test/java/org/mulleinshift/digest/BehaviourDigest.java
@@ -16,11 +16,9 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.function.LongFunction;
-import java.util.stream.Stream;
 import org.mulleinshift.scenario.CutScenario;
-import org.mulleinshift.scenario.RandomScenario;
 import org.mulleinshift.scenario.Scenario;
+import org.mulleinshift.scenario.ScenarioCatalog;
 import org.mulleinshift.settings.SettingsException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -32,7 +30,6 @@
  */
 @Command(name = "behaviour-digest", mixinStandardHelpOptions = true, sortOptions = false)
 public final class BehaviourDigest implements Callable<Integer> {
-  private static final Path FOLDER = Path.of("src/test/resources/scenarios");
   private static final int FILE_SEEDS = 3;
   private static final int DRAWN_SEEDS = 24;
   private static final int CUTS = 40;
@@ -122,18 +119,12 @@
   /** The plays of the scenario tests: all files, the drawn scenarios and the sample of cuts. */
   static List<Play> plays() throws IOException {
     List<Play> plays = new ArrayList<>();
-    for (Path file : scenarioFiles()) {
-      String name = file.getFileName().toString().replaceAll("\\.scenario$", "");
-      List<String> lines = Scenario.linesOf(file);
-      for (long each = 1; each <= FILE_SEEDS; each++) {
-        plays.add(new Play(name, each, lines));
-      }
+    for (ScenarioCatalog.Entry scenario : ScenarioCatalog.files()) {
+      addPlays(plays, scenario, FILE_SEEDS);
+    }
+    for (ScenarioCatalog.Entry scenario : ScenarioCatalog.drawn()) {
+      addPlays(plays, scenario, DRAWN_SEEDS);
     }
-    addDrawn(plays, "drawn", RandomScenario::lines);
-    addDrawn(plays, "drawn-chains", RandomScenario::chainedLines);
-    addDrawn(plays, "drawn-meetings", RandomScenario::pairedLines);
-    addDrawn(plays, "drawn-further-meetings", RandomScenario::furtherLines);
-    addDrawn(plays, "drawn-progress-log", RandomScenario::loggedLines);
     for (long i = 0; i < CUTS; i++) {
       int number = (int) (i * CUT_STRIDE % CutScenario.COUNT);
       plays.add(new Play("cut-" + number, number + 1, CutScenario.lines(number)));
@@ -141,15 +132,9 @@
     return plays;
   }
 
-  private static List<Path> scenarioFiles() throws IOException {
-    try (Stream<Path> files = Files.list(FOLDER)) {
-      return files.sorted().toList();
-    }
-  }
-
-  private static void addDrawn(List<Play> plays, String name, LongFunction<List<String>> lines) {
-    for (long each = 1; each <= DRAWN_SEEDS; each++) {
-      plays.add(new Play(name, each, lines.apply(each)));
+  private static void addPlays(List<Play> plays, ScenarioCatalog.Entry scenario, int seeds) {
+    for (long each = 1; each <= seeds; each++) {
+      plays.add(new Play(scenario.name(), each, scenario.lines().apply(each)));
     }
   }
 }
--- a/src/test/java/org/mulleinshift/scenario/RandomScenarioTest.java
+++ b/src/test/java/org/mulleinshift/scenario/RandomScenarioTest.java
@@ -17,8 +17,7 @@
   private static final String FIXED = "1-24";
 
   static LongStream seeds() {
-    String[] ends = System.getProperty("seeds", FIXED).split("-", 0);
-    return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]));
+    return SeedRange.parse(System.getProperty("seeds", FIXED)).stream();
   }
 
   @ParameterizedTest(name = "chains, seed {0}")
--- /dev/null
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
@@ -0,0 +1,68 @@
+package org.mulleinshift.scenario;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongFunction;
+import java.util.stream.Stream;
+
+/** All scenarios by name: those in files, and the families that are drawn from a seed. */
+public final class ScenarioCatalog {
+  private static final Path FOLDER = Path.of("src/test/resources/scenarios");
+  private static final String SUFFIX = ".scenario";
+
+  /**
+   * A scenario that can be played with any seed.
+   *
+   * @param name of the file without its suffix, or of the family
+   * @param lines of the seed
+   */
+  public record Entry(String name, LongFunction<List<String>> lines) {}
+
+  private ScenarioCatalog() {}
+
+  /** The scenarios of the test resources, sorted by name. */
+  public static List<Entry> files() throws IOException {
+    try (Stream<Path> files = Files.list(FOLDER)) {
+      return files.sorted().map(ScenarioCatalog::file).toList();
+    }
+  }
+
+  /** The scenario of one file, wherever it is. */
+  public static Entry file(Path path) {
+    String fileName = path.getFileName().toString();
+    if (!fileName.endsWith(SUFFIX)) {
+      throw new IllegalArgumentException("not a scenario: " + path);
+    }
+    String name = fileName.substring(0, fileName.length() - SUFFIX.length());
+    return new Entry(name, seed -> read(path));
+  }
+
+  private static List<String> read(Path path) {
+    try {
+      return Scenario.linesOf(path);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** The drawn families. */
+  public static List<Entry> drawn() {
+    return List.of(
+        new Entry("drawn", RandomScenario::lines),
+        new Entry("drawn-chains", RandomScenario::chainedLines),
+        new Entry("drawn-meetings", RandomScenario::pairedLines),
+        new Entry("drawn-further-meetings", RandomScenario::furtherLines),
+        new Entry("drawn-progress-log", RandomScenario::loggedLines));
+  }
+
+  /** All files and all drawn families. */
+  public static List<Entry> all() throws IOException {
+    List<Entry> all = new ArrayList<>(files());
+    all.addAll(drawn());
+    return all;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioSeeds.java
@@ -0,0 +1,110 @@
+package org.mulleinshift.scenario;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.mulleinshift.settings.SettingsException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Plays chosen scenarios over a range of seeds and prints for each how many failed, and what failed
+ * on which seed. Exits with 1 if anything failed.
+ */
+@Command(name = "scenario-seeds", mixinStandardHelpOptions = true, sortOptions = false)
+public final class ScenarioSeeds implements Callable<Integer> {
+  private static final int FAILED = 1;
+
+  @Option(names = "--only", split = ",", description = "Scenarios whose names start so.")
+  private List<String> prefixes = new ArrayList<>();
+
+  @Option(names = "--file", split = ",", description = "Scenario files outside the resources.")
+  private List<Path> files = new ArrayList<>();
+
+  @Option(names = "--seeds", description = "A range: 1-200, or one seed.")
+  private String seeds = "1-40";
+
+  @Option(names = "--threads", description = "Scenarios played at a time.")
+  private int threads = 4;
+
+  @Option(names = "--log", description = "Print the log, by virtual time; LOG_LEVEL sets what.")
+  private boolean log;
+
+  /** One seed of a scenario, while it is played. */
+  private record Play(long seed, Future<List<String>> failures) {}
+
+  /** A scenario and its plays. */
+  private record Plays(String name, List<Play> plays) {}
+
+  /** Plays; see {@code --help}. */
+  public static void main(String[] args) {
+    System.exit(new CommandLine(new ScenarioSeeds()).execute(args));
+  }
+
+  @Override
+  public Integer call() throws Exception {
+    if (log) {
+      PlayLog.install();
+    }
+    ExecutorService pool = Executors.newFixedThreadPool(threads);
+    try {
+      List<Plays> all = new ArrayList<>();
+      for (ScenarioCatalog.Entry scenario : chosen()) {
+        all.add(submit(scenario, pool));
+      }
+      boolean anyFailed = false;
+      for (Plays scenario : all) {
+        anyFailed |= report(scenario);
+      }
+      return anyFailed ? FAILED : 0;
+    } finally {
+      pool.shutdownNow();
+    }
+  }
+
+  private List<ScenarioCatalog.Entry> chosen() throws Exception {
+    List<ScenarioCatalog.Entry> chosen = new ArrayList<>();
+    for (ScenarioCatalog.Entry scenario : ScenarioCatalog.all()) {
+      if (prefixes.stream().anyMatch(scenario.name()::startsWith)) {
+        chosen.add(scenario);
+      }
+    }
+    files.forEach(path -> chosen.add(ScenarioCatalog.file(path)));
+    if (chosen.isEmpty()) {
+      throw new IllegalArgumentException("no scenario chosen, prefixes=" + prefixes);
+    }
+    return chosen;
+  }
+
+  private Plays submit(ScenarioCatalog.Entry scenario, ExecutorService pool) {
+    List<Play> plays = new ArrayList<>();
+    SeedRange.parse(seeds).stream()
+        .forEach(seed -> plays.add(new Play(seed, pool.submit(() -> play(scenario, seed)))));
+    return new Plays(scenario.name(), plays);
+  }
+
+  private static List<String> play(ScenarioCatalog.Entry scenario, long seed)
+      throws SettingsException {
+    return Scenario.play(scenario.lines().apply(seed), seed);
+  }
+
+  /** Prints the outcome of one scenario and returns whether any of its seeds failed. */
+  private static boolean report(Plays scenario) throws Exception {
+    List<String> lines = new ArrayList<>();
+    int failed = 0;
+    for (Play play : scenario.plays()) {
+      List<String> failures = play.failures().get();
+      failed += failures.isEmpty() ? 0 : 1;
+      failures.forEach(failure -> lines.add("  seed " + play.seed() + ": " + failure));
+    }
+    System.out.println(
+        scenario.name() + " played=" + scenario.plays().size() + " failed=" + failed);
+    lines.forEach(System.out::println);
+    return failed > 0;
+  }
+}
--- a/src/test/java/org/mulleinshift/simulation/SimulatedController.java
+++ b/src/test/java/org/mulleinshift/simulation/SimulatedController.java
@@ -223,6 +223,7 @@
       double remaining = stalledUntil - timeline.seconds() + AFTER_STALL_SECONDS;
       timeline.after(remaining, () -> run(stepOf, step));
     } else {
+      LogOrigin.enter(label(), timeline.seconds());
       reportStall();
       step.run();
     }
--- a/src/test/java/org/mulleinshift/simulation/SimulatedWorker.java
+++ b/src/test/java/org/mulleinshift/simulation/SimulatedWorker.java
@@ -8,16 +8,20 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.mulleinshift.invariants.InvariantChecker;
 import org.mulleinshift.simulation.time.Timeline;
 import org.mulleinshift.transport.HttpRequest;
 import org.mulleinshift.transport.HttpResponse;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The worker of a machine: it sends heartbeats, carries out commands that carry a fencing token at
  * least as high as the highest it has seen, and ends its tasks when its lease expires.
  */
 public final class SimulatedWorker {
+  private static final Logger LOG = LoggerFactory.getLogger(SimulatedWorker.class);
   private static final double ANSWER_SECONDS = 4;
   private static final double MIN_HEARTBEAT_GAP_SECONDS = 0.5;
   private static final double GAP_TOLERANCE_SECONDS = 1e-6;
@@ -189,6 +193,7 @@
     if (gone || timeline.seconds() - leaseStart <= timing.leaseSeconds()) {
       return;
     }
+    logEvent(() -> "lease expired");
     tasks.clear();
     epoch++;
     leaseStart = timeline.seconds();
@@ -262,11 +267,19 @@
 
   private void retryIfUnanswered(Heartbeat heartbeat) {
     if (awaitsReplyTo(heartbeat)) {
+      logEvent(() -> "heartbeat unanswered, controller=" + controller);
       inFlight = false;
       tryNextController();
     }
   }
 
+  private void logEvent(Supplier<String> event) {
+    if (LOG.isDebugEnabled()) {
+      LogOrigin.enter(machine.name(), timeline.seconds());
+      LOG.debug("{} lease_age_s={}", event.get(), timeline.seconds() - leaseStart);
+    }
+  }
+
   private void receiveReply(HttpResponse reply, Heartbeat heartbeat) {
     boolean deaf = timeline.seconds() < deafUntil;
     boolean unreachable = deaf && !dropsAnswers;
@@ -285,6 +298,14 @@
 
   private void processReply(HttpResponse reply, Heartbeat heartbeat) {
     JsonNode body = parse(reply.body());
+    logEvent(
+        () ->
+            "heartbeat answered, controller="
+                + controller
+                + " status="
+                + reply.status()
+                + " redirect="
+                + body.path("foreman").asText("-"));
     if (reply.status() == HttpStatus.MISDIRECTED && body.hasNonNull("foreman")) {
       int named = controllers.controllerLabels().indexOf(body.get("foreman").asText());
       if (named >= 0 && named != controller) {
