Known failures: the list excuses exactly what it names

ScenarioTest passed over any failure of a listed scenario, a broken rule too, on any seed, and did not play the seeds after it. An entry now names test, scenario, seed and the expectation or rule that fails; everything else of that play fails the test, all other seeds are played, a listed seed is played even if it is not one of the fixed ones, and a failure that no longer comes fails the build until its entry is taken off. A malformed entry, or one that names no scenario, fails with one message. RandomScenarioTest uses the list too; it plays the same families and seeds as before.

--- /dev/null
+++ b/src/test/java/org/mulleinshift/scenario/KnownFailure.java
@@ -0,0 +1,67 @@
+package org.mulleinshift.scenario;
+
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.mulleinshift.invariants.Rule;
+
+/**
+ * One entry of the list of known failures: one failure of one play that is expected to come.
+ *
+ * @param test the test class
+ * @param scenario the name of the scenario, or of the drawn family
+ * @param seed the seed of the play
+ * @param failure the line of the expectation that fails, or the name of the rule that is broken
+ * @param issue the open issue
+ */
+record KnownFailure(String test, String scenario, long seed, String failure, int issue) {
+  /** {@code TEST SCENARIO seed N: FAILURE | COMMAND | WHAT WAS SEEN | issue N}. */
+  private static final Pattern LINE =
+      Pattern.compile(
+          "(\\w+Test) (\\S+) seed (\\d+): ([^|]+) \\| mvn [^|]+ \\| [^|]+ \\| issue (\\d+)");
+
+  private static final int TEST = 1;
+  private static final int SCENARIO = 2;
+  private static final int SEED = 3;
+  private static final int FAILURE = 4;
+  private static final int ISSUE = 5;
+  private static final String EXPECTATION_PREFIX = "expect ";
+
+  /** Reads a line of the list; the exception's message shows the line and the form. */
+  static KnownFailure parse(String line) {
+    Matcher matcher = LINE.matcher(line);
+    if (!matcher.matches() || !isFailure(matcher.group(FAILURE))) {
+      throw new IllegalArgumentException(
+          "malformed known failure: "
+              + line
+              + "\nexpected: TEST SCENARIO seed N: expect ...|RULE | mvn COMMAND | SEEN | issue N");
+    }
+    return new KnownFailure(
+        matcher.group(TEST),
+        matcher.group(SCENARIO),
+        Long.parseLong(matcher.group(SEED)),
+        matcher.group(FAILURE),
+        Integer.parseInt(matcher.group(ISSUE)));
+  }
+
+  private static boolean isFailure(String text) {
+    return text.startsWith(EXPECTATION_PREFIX) || rule(text).isPresent();
+  }
+
+  private static Optional<Rule> rule(String text) {
+    return Arrays.stream(Rule.values()).filter(rule -> rule.toString().equals(text)).findFirst();
+  }
+
+  boolean isOf(String playedTest, String playedScenario) {
+    return test.equals(playedTest) && scenario.equals(playedScenario);
+  }
+
+  /** Whether the failure of a play is the expected one. */
+  boolean matches(String playFailure) {
+    if (failure.startsWith(EXPECTATION_PREFIX)) {
+      return playFailure.startsWith(failure + ": ");
+    }
+    return playFailure.matches("\\d+\\.\\d{3} " + Pattern.quote(failure) + ": .*");
+  }
+}
--- a/src/test/java/org/mulleinshift/scenario/RandomScenarioTest.java
+++ b/src/test/java/org/mulleinshift/scenario/RandomScenarioTest.java
@@ -1,11 +1,13 @@
 package org.mulleinshift.scenario;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import java.util.List;
-import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.mulleinshift.settings.SettingsException;
 
@@ -16,32 +18,23 @@
 final class RandomScenarioTest {
   private static final String FIXED = "1-24";
 
-  static LongStream seeds() {
-    return SeedRange.parse(System.getProperty("seeds", FIXED)).stream();
-  }
-
-  @ParameterizedTest(name = "chains, seed {0}")
-  @MethodSource("seeds")
-  void endsChains(long seed) throws SettingsException {
-    play(RandomScenario.chainedLines(seed), seed);
-  }
+  private static final String TEST = RandomScenarioTest.class.getSimpleName();
+  private static final KnownFailures KNOWN = KnownFailures.read();
 
-  @ParameterizedTest(name = "meetings, seed {0}")
-  @MethodSource("seeds")
-  void keepsRulesWhereTwoTroublesMeet(long seed) throws SettingsException {
-    play(RandomScenario.pairedLines(seed), seed);
+  static Stream<Arguments> plays() {
+    SeedRange seeds = SeedRange.parse(System.getProperty("seeds", FIXED));
+    return ScenarioCatalog.drawn().stream()
+        .flatMap(
+            family ->
+                KNOWN
+                    .withKnownSeeds(seeds.stream(), TEST, family.name())
+                    .mapToObj(seed -> Arguments.of(family, seed)));
   }
 
-  @ParameterizedTest(name = "further meetings, seed {0}")
-  @MethodSource("seeds")
-  void keepsRulesWhereFurtherTroublesMeet(long seed) throws SettingsException {
-    play(RandomScenario.furtherLines(seed), seed);
-  }
-
-  @ParameterizedTest(name = "progress log, seed {0}")
-  @MethodSource("seeds")
-  void keepsRulesWhereWritesOfProgressAreLost(long seed) throws SettingsException {
-    play(RandomScenario.loggedLines(seed), seed);
+  @ParameterizedTest(name = "{0}, seed {1}")
+  @MethodSource("plays")
+  void keepsRulesAndEndsJobs(ScenarioCatalog.Entry family, long seed) throws SettingsException {
+    play(family, seed);
   }
 
   /**
@@ -50,17 +43,14 @@
    */
   @Test
   void anEndThatIsNotStoredYetIsNoStartForTheNextOwner() throws SettingsException {
-    play(RandomScenario.loggedLines(50), 50);
-  }
-
-  @ParameterizedTest(name = "seed {0}")
-  @MethodSource("seeds")
-  void keepsRulesAndEndsJobs(long seed) throws SettingsException {
-    play(RandomScenario.lines(seed), seed);
+    play(new ScenarioCatalog.Entry("drawn-progress-log", RandomScenario::loggedLines), 50);
   }
 
-  private static void play(List<String> lines, long seed) throws SettingsException {
-    assertEquals(
-        List.of(), Scenario.play(lines, seed), "seed " + seed + "\n" + String.join("\n", lines));
+  private static void play(ScenarioCatalog.Entry family, long seed) throws SettingsException {
+    List<String> lines = family.lines().apply(seed);
+    KnownFailures.Verdict verdict =
+        KNOWN.judge(TEST, family.name(), seed, Scenario.play(lines, seed));
+    assertEquals(List.of(), verdict.problems(), "seed " + seed + "\n" + String.join("\n", lines));
+    assumeTrue(verdict.excused().isEmpty(), () -> "known red: " + verdict.excused());
   }
 }
--- a/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
@@ -20,7 +20,12 @@
    * @param name of the file without its suffix, or of the family
    * @param lines of the seed
    */
-  public record Entry(String name, LongFunction<List<String>> lines) {}
+  public record Entry(String name, LongFunction<List<String>> lines) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
 
   private ScenarioCatalog() {}
 
--- a/src/test/java/org/mulleinshift/scenario/ScenarioTest.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioTest.java
@@ -1,51 +1,46 @@
 package org.mulleinshift.scenario;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.junit.jupiter.api.Assumptions.assumeFalse;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.stream.Stream;
+import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.mulleinshift.settings.SettingsException;
 
-/** Plays every scenario file, each with a few fixed seeds. */
+/**
+ * Plays every scenario file, each with a few fixed seeds and with those for which the list of known
+ * failures names it.
+ */
 final class ScenarioTest {
-  private static final Path FOLDER = Path.of("src/test/resources/scenarios");
-  private static final Path KNOWN_RED = Path.of("KNOWN-RED.txt");
+  private static final String TEST = ScenarioTest.class.getSimpleName();
   private static final int SEEDS = 3;
+  private static final KnownFailures KNOWN = KnownFailures.read();
 
-  static List<String> scenarios() throws IOException {
-    try (Stream<Path> files = Files.list(FOLDER)) {
-      String only = System.getProperty("scenario", "");
-      return files
-          .map(file -> file.getFileName().toString())
-          .filter(name -> name.startsWith(only))
-          .sorted()
-          .toList();
-    }
+  static List<ScenarioCatalog.Entry> scenarios() throws IOException {
+    String only = System.getProperty("scenario", "");
+    return ScenarioCatalog.files().stream()
+        .filter(scenario -> scenario.name().startsWith(only))
+        .toList();
   }
 
   @ParameterizedTest(name = "{0}")
   @MethodSource("scenarios")
-  void keepsRulesAndExpectations(String name) throws IOException, SettingsException {
-    assertTrue(name.endsWith(".scenario"), "not a scenario: " + name);
-    for (int seed = 1; seed <= SEEDS; seed++) {
-      List<String> failures = Scenario.play(FOLDER.resolve(name), seed);
-      assumeFalse(
-          !failures.isEmpty() && isKnownRed(name), () -> "known red: " + name + " " + failures);
-      assertEquals(List.of(), failures, name + " with seed " + seed);
+  void keepsRulesAndExpectations(ScenarioCatalog.Entry scenario) throws SettingsException {
+    List<String> excused = new ArrayList<>();
+    for (long seed : seeds(scenario.name())) {
+      List<String> failures = Scenario.play(scenario.lines().apply(seed), seed);
+      KnownFailures.Verdict verdict = KNOWN.judge(TEST, scenario.name(), seed, failures);
+      assertEquals(List.of(), verdict.problems(), scenario.name() + " with seed " + seed);
+      excused.addAll(verdict.excused());
     }
+    assumeTrue(excused.isEmpty(), () -> "known red: " + scenario.name() + " " + excused);
   }
 
-  /** Whether the scenario fails for a fault that is known and not mended yet. */
-  private static boolean isKnownRed(String name) throws IOException {
-    String entry = ScenarioTest.class.getSimpleName() + " " + name + ":";
-    return Files.exists(KNOWN_RED)
-        && Files.readAllLines(KNOWN_RED).stream().anyMatch(line -> line.startsWith(entry));
+  private static long[] seeds(String scenario) {
+    return KNOWN.withKnownSeeds(LongStream.rangeClosed(1, SEEDS), TEST, scenario).toArray();
   }
 }
