--- a/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongFunction;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
 /** All scenarios by name: those in files, and the families that are drawn from a seed. */
@@ -21,6 +22,15 @@
    * @param lines of the seed
    */
   public record Entry(String name, LongFunction<List<String>> lines) {
+    /** The seeds that the lines name besides the fixed ones; those of a drawn family name none. */
+    LongStream namedSeeds() {
+      return lines.apply(0).stream()
+          .map(ScenarioLine::parse)
+          .filter(line -> line.word(0).equals(ScenarioSettings.SEEDS))
+          .flatMap(line -> line.from(1).words().stream())
+          .mapToLong(Long::parseLong);
+    }
+
     @Override
     public String toString() {
       return name;
--- a/src/test/java/org/mulleinshift/scenario/ScenarioSettings.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioSettings.java
@@ -26,6 +26,9 @@
   private static final PlatformSettings.Limits PROCESS_LIMITS =
       new PlatformSettings.Limits(1, 200, 500);
 
+  /** A line that names seeds with which a scenario is played besides the fixed ones. */
+  static final String SEEDS = "seeds";
+
   /** A command and the time at which it is carried out, in seconds. */
   record TimedCommand(double seconds, ScenarioLine command) {}
 
@@ -56,6 +59,9 @@
 
   private void read(ScenarioLine line) {
     switch (line.word(0)) {
+      case SEEDS -> {
+        // Read by the runner.
+      }
       case "nodes" -> controllerCount = line.integer(1);
       case "zones" -> {
         zones.clear();
--- a/src/test/java/org/mulleinshift/scenario/ScenarioTest.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioTest.java
@@ -12,8 +12,8 @@
 import org.mulleinshift.settings.SettingsException;
 
 /**
- * Plays every scenario file, each with a few fixed seeds and with those for which the list of known
- * failures names it.
+ * Plays every scenario file, each with a few fixed seeds, those that the file names besides, and
+ * those for which the list of known failures names it.
  */
 final class ScenarioTest {
   private static final String TEST = ScenarioTest.class.getSimpleName();
@@ -31,7 +31,7 @@
   @MethodSource("scenarios")
   void keepsRulesAndExpectations(ScenarioCatalog.Entry scenario) throws SettingsException {
     List<String> excused = new ArrayList<>();
-    for (long seed : seeds(scenario.name())) {
+    for (long seed : seeds(scenario)) {
       List<String> failures = Scenario.play(scenario.lines().apply(seed), seed);
       KnownFailures.Verdict verdict = KNOWN.judge(TEST, scenario.name(), seed, failures);
       assertEquals(List.of(), verdict.problems(), scenario.name() + " with seed " + seed);
@@ -40,7 +40,9 @@
     assumeTrue(excused.isEmpty(), () -> "known red: " + scenario.name() + " " + excused);
   }
 
-  private static long[] seeds(String scenario) {
-    return KNOWN.withKnownSeeds(LongStream.rangeClosed(1, SEEDS), TEST, scenario).toArray();
+  private static long[] seeds(ScenarioCatalog.Entry scenario) {
+    LongStream fixed = LongStream.rangeClosed(1, SEEDS);
+    LongStream named = LongStream.concat(fixed, scenario.namedSeeds());
+    return KNOWN.withKnownSeeds(named, TEST, scenario.name()).toArray();
   }
 }
