Workers that left an owner unanswered are not sent back before it is shown to answer

Cause: the controller that such a worker came to sent it back on the owner's own word, which is late by the time in which the owner notices that heartbeats are missing (34.037 sent back to node-2, 34.250 node-2 to=MOST_UNREACHABLE, 39.869 lease expired); the next owner sent workers on between grant and adoption; each further hop cost a second or more. The worker's token shows that it left; the worker itself is asked whether the heartbeat is new. New log event: owner suspected.

--- a/src/main/java/org/mulleinshift/controller/ControllerComponents.java
+++ b/src/main/java/org/mulleinshift/controller/ControllerComponents.java
@@ -305,8 +305,7 @@
         view,
         session,
         context,
-        new OwnedShards.Peers(
-            members.others(), status::answersWorkers, events::onReachabilityChange),
+        new OwnedShards.Peers(members.others(), status, events::onReachabilityChange),
         message -> leadership.sendToLeader(message));
   }
 
--- a/src/main/java/org/mulleinshift/controller/ControllerStatus.java
+++ b/src/main/java/org/mulleinshift/controller/ControllerStatus.java
@@ -1,6 +1,7 @@
 package org.mulleinshift.controller;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.mulleinshift.membership.PeerFailureDetector;
 import org.mulleinshift.membership.PeerStatus;
@@ -8,9 +9,11 @@
 import org.mulleinshift.membership.WorkerReachability;
 import org.mulleinshift.protocol.NodeId;
 import org.mulleinshift.protocol.peer.Heartbeat;
+import org.mulleinshift.sharding.OwnerHealth;
+import org.mulleinshift.transport.MonotonicTime;
 
 /** The health of all controllers: this one's own, and that of the others by their heartbeats. */
-final class ControllerStatus implements PeerStatus {
+final class ControllerStatus implements PeerStatus, OwnerHealth {
   private final NodeId self;
   private final PeerFailureDetector failureDetector;
   private final StoreHealth storeHealth;
@@ -58,9 +61,14 @@
         : failureDetector.freshHeartbeat(node).filter(Heartbeat::getStoreLost).isPresent();
   }
 
-  /** Whether workers may be sent to the node: its heartbeats arrive, and its workers reach it. */
-  boolean answersWorkers(NodeId node) {
+  @Override
+  public boolean answersWorkers(NodeId node) {
     return timeSinceLastHeard(node).compareTo(PeerFailureDetector.HEARTBEAT_TIMEOUT) < 0
         && workerReachability(node).compareTo(WorkerReachability.State.SUSPECTED) <= 0;
   }
+
+  @Override
+  public Optional<MonotonicTime> lastReportAt(NodeId node) {
+    return failureDetector.lastHeartbeatAt(node);
+  }
 }
--- a/src/main/java/org/mulleinshift/membership/PeerFailureDetector.java
+++ b/src/main/java/org/mulleinshift/membership/PeerFailureDetector.java
@@ -172,6 +172,11 @@
     return list;
   }
 
+  /** When the peer's last heartbeat arrived. */
+  public Optional<MonotonicTime> lastHeartbeatAt(NodeId peer) {
+    return Optional.ofNullable(heartbeats.get(peer)).map(ReceivedHeartbeat::receivedAt);
+  }
+
   /** The peer's last heartbeat, however old. */
   public Optional<Heartbeat> lastHeartbeat(NodeId peer) {
     return Optional.ofNullable(heartbeats.get(peer)).map(ReceivedHeartbeat::heartbeat);
--- a/src/main/java/org/mulleinshift/membership/WorkerReachability.java
+++ b/src/main/java/org/mulleinshift/membership/WorkerReachability.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 import org.mulleinshift.protocol.WorkerCodec;
 import org.mulleinshift.transport.AsyncHttpClient;
@@ -21,7 +22,10 @@
  */
 public final class WorkerReachability {
   private static final Logger LOG = LoggerFactory.getLogger(WorkerReachability.class);
-  private static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
+
+  /** The state is checked so often. */
+  public static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
+
   private static final Duration PING_INTERVAL = Duration.ofSeconds(2);
   private static final Duration PING_DEADLINE = Duration.ofMillis(1500);
 
@@ -170,7 +174,7 @@
   }
 
   private State nextState(Count count) {
-    Duration conclusiveGap = conclusiveGap(count.known());
+    Duration conclusiveGap = conclusiveGap(count.known(), heartbeatInterval);
     boolean enoughMachines = count.known() >= MIN_MACHINES_FOR_ALL;
     if (enoughMachines && heartbeatGap.compareTo(conclusiveGap) >= 0) {
       return State.ALL_UNREACHABLE;
@@ -196,8 +200,18 @@
         || loop.now().since(changedAt).compareTo(SUSPICION_TIMEOUT) >= 0;
   }
 
+  /**
+   * After which gap in the heartbeats of all machines a controller with so many reports it; empty
+   * if it has too few to tell.
+   */
+  public static Optional<Duration> detectionTime(int machines, Duration heartbeatInterval) {
+    return machines >= MIN_MACHINES_FOR_ALL
+        ? Optional.of(conclusiveGap(machines, heartbeatInterval))
+        : Optional.empty();
+  }
+
   /** The time in which {@link #MISSED_HEARTBEATS} heartbeats were due, jitter included. */
-  private Duration conclusiveGap(int machines) {
+  private static Duration conclusiveGap(int machines, Duration heartbeatInterval) {
     Duration expected =
         heartbeatInterval
             .multipliedBy(JITTER_NUMERATOR * MISSED_HEARTBEATS)
--- a/src/main/java/org/mulleinshift/sharding/HeartbeatRouter.java
+++ b/src/main/java/org/mulleinshift/sharding/HeartbeatRouter.java
@@ -14,13 +14,20 @@
 import org.mulleinshift.protocol.WorkerCodec;
 import org.mulleinshift.protocol.WorkerHeartbeat;
 import org.mulleinshift.protocol.peer.UnknownWorkerReport;
+import org.mulleinshift.sharding.HeldHeartbeats.Held;
+import org.mulleinshift.transport.EventLoop;
 import org.mulleinshift.transport.HttpStatus;
 import org.mulleinshift.transport.Responder;
 
-/** Has heartbeats answered by the owner of the machine's shard, here or on another controller. */
+/**
+ * Has heartbeats answered by the owner of the machine's shard, here or on another controller. A
+ * worker that has left an owner unanswered is not sent back until that owner has been shown to
+ * answer workers: its heartbeat is held until then, or until the shard has another owner.
+ */
 final class HeartbeatRouter {
   private static final String NO_REDIRECT = "{}";
 
+  private final EventLoop loop;
   private final NodeId self;
   private final ClusterView view;
   private final OwnedShards.Peers peers;
@@ -28,6 +35,8 @@
   private final Consumer<Object> toLeader;
   private final WorkerProber prober;
   private final SuspicionReporter suspicions;
+  private final OwnerResponsiveness owners;
+  private final HeldHeartbeats held;
 
   /**
    * A router of one controller.
@@ -41,35 +50,67 @@
       OwnedShards.Peers peers,
       Map<ShardId, ShardOwner> owned,
       Consumer<Object> toLeader) {
+    this.loop = context.loop();
     this.self = self;
     this.view = view;
     this.peers = peers;
     this.owned = owned;
     this.toLeader = toLeader;
     this.prober = new WorkerProber(context.workers());
-    this.suspicions = new SuspicionReporter(context.loop(), view, toLeader);
+    this.suspicions = new SuspicionReporter(loop, view, toLeader);
+    this.owners =
+        new OwnerResponsiveness(view, peers.health(), context.timing().heartbeatInterval());
+    this.held = new HeldHeartbeats(loop, this::settle, this::sendOn);
   }
 
-  /** Answers the heartbeat, or names the controller that should. */
+  /** Answers the heartbeat, or names the controller that should, now or as soon as it is known. */
   void route(WorkerHeartbeat heartbeat, Responder responder) {
+    Held next = new Held(heartbeat, responder, loop.now());
+    if (!settle(next)) {
+      suspectOwner(heartbeat);
+      held.hold(next);
+    }
+  }
+
+  /** Shards or grants have changed. */
+  void onControlChange() {
+    held.review();
+  }
+
+  /** Responds if it is known who should answer; returns whether it is. */
+  private boolean settle(Held next) {
+    WorkerHeartbeat heartbeat = next.heartbeat();
     Optional<ShardId> shard = view.shardOf(heartbeat.machine());
     if (shard.isEmpty()) {
       prober.probe(heartbeat, () -> reportUnknownWorker(heartbeat));
-      responder.respond(HttpStatus.MISDIRECTED_REQUEST, NO_REDIRECT);
-      return;
+      next.responder().respond(HttpStatus.MISDIRECTED_REQUEST, NO_REDIRECT);
+      return true;
     }
     ShardOwner owner = owned.get(shard.get());
-    if (owner == null) {
-      Optional<NodeId> next = redirectTarget(shard.get(), heartbeat);
-      responder.respond(
-          HttpStatus.MISDIRECTED_REQUEST, next.map(WorkerCodec::writeRedirect).orElse(NO_REDIRECT));
-      return;
+    if (owner != null) {
+      answer(owner, next);
+      return true;
     }
-    Optional<String> answer = owner.onHeartbeat(heartbeat);
+    GrantRecord grant = view.grants().get(shard.get());
+    if (grant == null) {
+      next.responder().respond(HttpStatus.MISDIRECTED_REQUEST, NO_REDIRECT);
+      return true;
+    }
+    boolean redirect = mayRedirect(grant, next);
+    if (redirect) {
+      String body = WorkerCodec.writeRedirect(grant.owner());
+      next.responder().respond(HttpStatus.MISDIRECTED_REQUEST, body);
+    }
+    return redirect;
+  }
+
+  private static void answer(ShardOwner owner, Held next) {
+    Optional<String> answer = owner.onHeartbeat(next.heartbeat());
     if (answer.isPresent()) {
-      responder.respond(HttpStatus.OK, answer.get());
+      next.responder().respond(HttpStatus.OK, answer.get());
     } else {
-      responder.respond(HttpStatus.SERVICE_UNAVAILABLE, JobCodec.writeError("not entitled"));
+      String error = JobCodec.writeError("not entitled");
+      next.responder().respond(HttpStatus.SERVICE_UNAVAILABLE, error);
     }
   }
 
@@ -83,17 +124,48 @@
             heartbeat.spot()));
   }
 
-  /** The controller that should answer a machine of a shard that is not owned here. */
-  private Optional<NodeId> redirectTarget(ShardId shard, WorkerHeartbeat heartbeat) {
-    GrantRecord grant = view.grants().get(shard);
-    if (grant == null || grant.owner().equals(self)) {
-      return Optional.empty();
+  /** Whether the worker is to report to the shard's owner, another controller than this one. */
+  private boolean mayRedirect(GrantRecord grant, Held next) {
+    if (grant.owner().equals(self)) {
+      // Granted to this controller, which has not adopted the shard yet.
+      return false;
     }
-    if (peers.answersWorkers().test(grant.owner())) {
-      return Optional.of(grant.owner());
+    return hasLeft(grant, next.heartbeat())
+        ? owners.isShownSince(grant.owner(), next.arrivedAt())
+        : owners.answersWorkers(grant.owner());
+  }
+
+  /** A worker that knows a token of the grant was answered by its owner, and now reports here. */
+  private static boolean hasLeft(GrantRecord grant, WorkerHeartbeat heartbeat) {
+    return MachineToken.belongsTo(heartbeat.highestToken(), grant.revision());
+  }
+
+  /** The worker should be at an owner that seems not to answer it, if the heartbeat is no copy. */
+  private void suspectOwner(WorkerHeartbeat heartbeat) {
+    Optional<ShardId> shard = view.shardOf(heartbeat.machine());
+    Optional<GrantRecord> grant = shard.map(view.grants()::get);
+    if (grant.isPresent() && !grant.get().owner().equals(self)) {
+      prober.probe(heartbeat, () -> onOwnerSuspected(shard.get(), grant.get(), heartbeat));
     }
-    prober.probe(heartbeat, () -> suspicions.report(shard, heartbeat.machine()));
-    return redirectPast(grant.owner());
+  }
+
+  private void onOwnerSuspected(ShardId shard, GrantRecord grant, WorkerHeartbeat heartbeat) {
+    if (hasLeft(grant, heartbeat)) {
+      owners.onDeparture(grant.owner(), loop.now());
+    }
+    suspicions.report(shard, heartbeat.machine());
+  }
+
+  /** The worker tries another controller, since nobody is known who could answer it. */
+  private void sendOn(Held next) {
+    String body =
+        view.shardOf(next.heartbeat().machine())
+            .map(view.grants()::get)
+            .filter(grant -> !grant.owner().equals(self))
+            .flatMap(grant -> redirectPast(grant.owner()))
+            .map(WorkerCodec::writeRedirect)
+            .orElse(NO_REDIRECT);
+    next.responder().respond(HttpStatus.MISDIRECTED_REQUEST, body);
   }
 
   /**
@@ -109,7 +181,6 @@
       return Optional.empty();
     }
     NodeId following = all.get((own + 2) % all.size());
-    return Optional.of(following)
-        .filter(node -> !node.equals(self) && peers.answersWorkers().test(node));
+    return Optional.of(following).filter(node -> !node.equals(self) && owners.answersWorkers(node));
   }
 }
--- a/src/main/java/org/mulleinshift/sharding/LivenessMonitor.java
+++ b/src/main/java/org/mulleinshift/sharding/LivenessMonitor.java
@@ -141,7 +141,12 @@
   }
 
   private Duration suspectedAfter() {
-    return timing.heartbeatInterval().multipliedBy(SUSPECTED_AFTER_HALF_INTERVALS).dividedBy(2);
+    return suspectedAfter(timing.heartbeatInterval());
+  }
+
+  /** After which silence a machine is suspected. */
+  static Duration suspectedAfter(Duration heartbeatInterval) {
+    return heartbeatInterval.multipliedBy(SUSPECTED_AFTER_HALF_INTERVALS).dividedBy(2);
   }
 
   private Duration lostAfter(OwnedMachine machine) {
--- a/src/main/java/org/mulleinshift/sharding/OwnedShards.java
+++ b/src/main/java/org/mulleinshift/sharding/OwnedShards.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.mulleinshift.membership.ControllerSession;
 import org.mulleinshift.membership.WorkerReachability;
 import org.mulleinshift.model.ClusterView;
@@ -38,11 +37,10 @@
    * What the owner of shards uses of the other controllers.
    *
    * @param nodes the other controllers
-   * @param answersWorkers whether a controller answers its workers, as far as is known
+   * @param health whether they answer their workers, as far as is known
    * @param onReachabilityChange run when this controller's reachability by workers has changed
    */
-  public record Peers(
-      List<NodeId> nodes, Predicate<NodeId> answersWorkers, Runnable onReachabilityChange) {}
+  public record Peers(List<NodeId> nodes, OwnerHealth health, Runnable onReachabilityChange) {}
 
   private final EventLoop loop;
   private final NodeId self;
@@ -149,6 +147,7 @@
     }
     owned.forEach(
         (shard, owner) -> Optional.ofNullable(view.shards().get(shard)).ifPresent(owner::onRecord));
+    router.onControlChange();
   }
 
   private void releaseLost(Map<ShardId, Revision> verified) {
--- a/src/main/java/org/mulleinshift/sharding/SuspicionReporter.java
+++ b/src/main/java/org/mulleinshift/sharding/SuspicionReporter.java
@@ -12,9 +12,12 @@
 import org.mulleinshift.protocol.ShardId;
 import org.mulleinshift.protocol.peer.OwnerSuspicion;
 import org.mulleinshift.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Reports to the leader machines whose owner does not answer them; several share a message. */
 final class SuspicionReporter {
+  private static final Logger LOG = LoggerFactory.getLogger(SuspicionReporter.class);
   private static final Duration BATCHING_DELAY = Duration.ofMillis(400);
 
   private final EventLoop loop;
@@ -42,6 +45,11 @@
         (shard, machines) -> {
           GrantRecord grant = view.grants().get(shard);
           if (grant != null) {
+            LOG.info(
+                "owner suspected, shard={} owner={} machines={}",
+                shard,
+                grant.owner(),
+                machines.size());
             toLeader.accept(
                 new OwnerSuspicion(
                     shard.value(),
--- a/src/main/java/org/mulleinshift/sharding/WorkerProber.java
+++ b/src/main/java/org/mulleinshift/sharding/WorkerProber.java
@@ -5,7 +5,9 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.mulleinshift.protocol.HeartbeatVersion;
 import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.MalformedMessageException;
 import org.mulleinshift.protocol.WorkerCodec;
 import org.mulleinshift.protocol.WorkerHeartbeat;
 import org.mulleinshift.transport.AsyncHttpClient;
@@ -20,6 +22,9 @@
   private static final Duration PROBE_DEADLINE = Duration.ofMillis(1200);
   private static final int MAX_PROBES = 64;
 
+  /** The answer itself, and answers to direct commands that meet the probe. */
+  private static final int MAX_MESSAGES_SINCE = 4;
+
   private final AsyncHttpClient workers;
   private final Set<MachineId> inFlight = new HashSet<>();
 
@@ -31,7 +36,7 @@
   /**
    * Probes the worker that sent the heartbeat, unless a probe of it is in flight or too many are.
    *
-   * @param onReachable run if the worker answers
+   * @param onReachable run if the worker answers and the heartbeat is one of its last messages
    */
   void probe(WorkerHeartbeat heartbeat, Runnable onReachable) {
     Optional<InetSocketAddress> address = WorkerAddress.parse(heartbeat.address());
@@ -43,9 +48,20 @@
         HttpRequest.get(WorkerCodec.STATUS_PATH, PROBE_DEADLINE),
         reply -> {
           inFlight.remove(heartbeat.machine());
-          if (reply.isOk()) {
+          if (reply.isOk() && isRecent(heartbeat, reply.body())) {
             onReachable.run();
           }
         });
   }
+
+  /** A copy that arrives late has been followed by other messages of its worker. */
+  private static boolean isRecent(WorkerHeartbeat heartbeat, String status) {
+    try {
+      HeartbeatVersion now = WorkerCodec.parseHeartbeat(status).version();
+      HeartbeatVersion then = heartbeat.version();
+      return now.epoch() == then.epoch() && now.sequence() - then.sequence() <= MAX_MESSAGES_SINCE;
+    } catch (MalformedMessageException e) {
+      return false;
+    }
+  }
 }
