A shard whose workers left goes to a controller that they are known to reach

Cause: a controller that owns few or no machines cannot notice that it is cut off; it was chosen for its low load (35.785 granting shard, shard=b-0 owner=node-0; 52.000 node-0 to=MOST_UNREACHABLE). Change: the leader keeps who reported a suspicion; for a shard with suspicions it prefers those, and controllers with enough machines to notice a gap soon. A worker that is sent on is named a controller that answers workers; where there is none it waits longer.

--- a/src/main/java/org/mulleinshift/controller/PeerMessageHandlers.java
+++ b/src/main/java/org/mulleinshift/controller/PeerMessageHandlers.java
@@ -62,6 +62,7 @@
         (sender, report) -> currentTerm.ifLeading(leader -> leader.onUnknownWorker(report)));
     dispatcher.register(
         OwnerSuspicion.class,
-        (sender, suspicion) -> currentTerm.ifLeading(leader -> leader.onOwnerSuspicion(suspicion)));
+        (sender, suspicion) ->
+            currentTerm.ifLeading(leader -> leader.onOwnerSuspicion(sender, suspicion)));
   }
 }
--- a/src/main/java/org/mulleinshift/leader/Leader.java
+++ b/src/main/java/org/mulleinshift/leader/Leader.java
@@ -282,9 +282,9 @@
   }
 
   /** Machines report to another controller than their shard's owner. */
-  public void onOwnerSuspicion(OwnerSuspicion suspicion) {
+  public void onOwnerSuspicion(NodeId reporter, OwnerSuspicion suspicion) {
     if (state == State.LEADING) {
-      shardStatus.onOwnerSuspicion(suspicion);
+      shardStatus.onOwnerSuspicion(reporter, suspicion);
     }
   }
 
--- a/src/main/java/org/mulleinshift/leader/ShardStatusHandler.java
+++ b/src/main/java/org/mulleinshift/leader/ShardStatusHandler.java
@@ -5,6 +5,7 @@
 import org.mulleinshift.autoscaling.Autoscaler;
 import org.mulleinshift.membership.PeerMessenger;
 import org.mulleinshift.protocol.MachineId;
+import org.mulleinshift.protocol.NodeId;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.ShardId;
 import org.mulleinshift.protocol.peer.OwnerSuspicion;
@@ -68,14 +69,14 @@
   }
 
   /** Machines of a shard sent heartbeats to another controller: their owner doesn't answer them. */
-  void onOwnerSuspicion(OwnerSuspicion suspicion) {
+  void onOwnerSuspicion(NodeId reporter, OwnerSuspicion suspicion) {
     MonotonicTime now = state.loop().now();
     shardUnderGrant(suspicion.getShard(), suspicion.getGrant())
         .ifPresent(
             shard ->
                 suspicion
                     .getMachines()
-                    .forEach(machine -> shard.onSuspicion(new MachineId(machine), now)));
+                    .forEach(machine -> shard.onSuspicion(new MachineId(machine), reporter, now)));
   }
 
   /** Acknowledges to owners up to which status their shard is known here. */
--- a/src/main/java/org/mulleinshift/membership/AssignableShard.java
+++ b/src/main/java/org/mulleinshift/membership/AssignableShard.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 import org.mulleinshift.protocol.NodeId;
 import org.mulleinshift.protocol.ShardId;
 import org.mulleinshift.protocol.ZoneId;
@@ -27,6 +28,12 @@
   /** For how long it has had no grant at all. */
   Duration unownedFor(MonotonicTime now);
 
+  /** Controllers, other than its owner, that its machines have lately reported to. */
+  Set<NodeId> reachedLately();
+
+  /** For how long it has had its present grant, or none. */
+  Duration grantUnchangedFor(MonotonicTime now);
+
   /** The next owner, while the grant is being stored. */
   Optional<NodeId> pendingOwner();
 
--- a/src/main/java/org/mulleinshift/membership/ShardAssigner.java
+++ b/src/main/java/org/mulleinshift/membership/ShardAssigner.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.mulleinshift.protocol.NodeId;
 import org.mulleinshift.protocol.ZoneId;
 import org.mulleinshift.transport.MonotonicTime;
@@ -32,13 +34,22 @@
   /** Makes an owner that acknowledges nothing the last choice for its shard. */
   private static final double UNRESPONSIVE_PENALTY = 1e6;
 
+  /**
+   * For a shard whose machines left its owner: what it counts that nothing shows that a controller
+   * is reached by machines. One that owns few can't tell for seconds that it is cut off too.
+   */
+  private static final double UNPROVEN_PENALTY = 1e4;
+
   /** Loads that differ by less are not evened out. */
   private static final double MIN_LOAD_DIFFERENCE = 16;
 
   /** A shard is moved only if its load is at most this share of the difference. */
   private static final double MAX_MOVED_SHARE = 0.75;
 
-  /** A controller takes part in evening out once it has been a candidate for this long. */
+  /**
+   * A controller takes part in evening out once it has been a candidate for this long, and a shard
+   * once it has had its owner for as long: its machines may still be on their way there.
+   */
   private static final Duration SETTLING_TIME = Duration.ofSeconds(8);
 
   private static final Duration MIN_TIME_BETWEEN_MOVES = Duration.ofSeconds(4);
@@ -101,7 +112,7 @@
           || awaitsLastOwner(shard, candidates, now)) {
         continue;
       }
-      NodeId owner = nextOwner(shard, candidates, loads);
+      NodeId owner = nextOwner(shard, shards, candidates, loads);
       loads.merge(owner, load(shard), Double::sum);
       moves.add(new Move(shard, owner));
     }
@@ -126,21 +137,44 @@
   }
 
   private NodeId nextOwner(
-      AssignableShard shard, List<NodeId> candidates, Map<NodeId, Double> loads) {
+      AssignableShard shard,
+      Collection<? extends AssignableShard> shards,
+      List<NodeId> candidates,
+      Map<NodeId, Double> loads) {
     Optional<NodeId> lastOwner = shard.lastOwner().filter(candidates::contains);
     if (shard.owner().isEmpty() && lastOwner.isPresent()) {
       return lastOwner.get();
     }
+    Predicate<NodeId> unproven = unproven(shard, shards);
     return candidates.stream()
         .min(
             Comparator.comparingDouble(
                 node ->
                     loads.get(node)
                         + distance(node, shard)
+                        + (unproven.test(node) ? UNPROVEN_PENALTY : 0)
                         + (shard.owner().equals(Optional.of(node)) ? UNRESPONSIVE_PENALTY : 0)))
         .orElseThrow();
   }
 
+  /**
+   * Controllers that the shard's machines did not report to after they left their owner, and that
+   * own too few machines to notice soon that they are not reached.
+   */
+  private static Predicate<NodeId> unproven(
+      AssignableShard shard, Collection<? extends AssignableShard> shards) {
+    Set<NodeId> reached = shard.reachedLately();
+    if (reached.isEmpty()) {
+      return node -> false;
+    }
+    Map<NodeId, Integer> machines = new HashMap<>();
+    for (AssignableShard other : shards) {
+      other.owner().ifPresent(node -> machines.merge(node, other.machineCount(), Integer::sum));
+    }
+    return node ->
+        !reached.contains(node) && !WorkerReachability.noticesGaps(machines.getOrDefault(node, 0));
+  }
+
   /** The move that brings the highest and the lowest load closest to each other. */
   private Optional<Move> balancingMove(
       Collection<? extends AssignableShard> shards, Map<NodeId, Double> loads, MonotonicTime now) {
@@ -159,6 +193,7 @@
         .filter(
             shard -> shard.pendingOwner().isEmpty() && shard.owner().equals(Optional.of(highest)))
         .filter(shard -> shard.machineCount() > 0)
+        .filter(shard -> shard.grantUnchangedFor(now).compareTo(SETTLING_TIME) >= 0)
         .filter(
             shard ->
                 difference >= MIN_LOAD_DIFFERENCE && load(shard) <= difference * MAX_MOVED_SHARE)
--- a/src/main/java/org/mulleinshift/membership/WorkerReachability.java
+++ b/src/main/java/org/mulleinshift/membership/WorkerReachability.java
@@ -175,7 +175,7 @@
 
   private State nextState(Count count) {
     Duration conclusiveGap = conclusiveGap(count.known(), heartbeatInterval);
-    boolean enoughMachines = count.known() >= MIN_MACHINES_FOR_ALL;
+    boolean enoughMachines = noticesGaps(count.known());
     if (enoughMachines && heartbeatGap.compareTo(conclusiveGap) >= 0) {
       return State.ALL_UNREACHABLE;
     }
@@ -205,11 +205,16 @@
    * if it has too few to tell.
    */
   public static Optional<Duration> detectionTime(int machines, Duration heartbeatInterval) {
-    return machines >= MIN_MACHINES_FOR_ALL
+    return noticesGaps(machines)
         ? Optional.of(conclusiveGap(machines, heartbeatInterval))
         : Optional.empty();
   }
 
+  /** Whether a controller with so many machines notices a gap in the heartbeats of all of them. */
+  static boolean noticesGaps(int machines) {
+    return machines >= MIN_MACHINES_FOR_ALL;
+  }
+
   /** The time in which {@link #MISSED_HEARTBEATS} heartbeats were due, jitter included. */
   private static Duration conclusiveGap(int machines, Duration heartbeatInterval) {
     Duration expected =
--- a/src/main/java/org/mulleinshift/sharding/HeartbeatRouter.java
+++ b/src/main/java/org/mulleinshift/sharding/HeartbeatRouter.java
@@ -1,6 +1,8 @@
 package org.mulleinshift.sharding;
 
+import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +29,11 @@
 final class HeartbeatRouter {
   private static final String NO_REDIRECT = "{}";
 
+  /** A second and a half less than a worker waits for a response. */
+  private static final Duration HOLD_LIMIT = Duration.ofMillis(2500);
+
+  private static final Duration LONG_HOLD_LIMIT = Duration.ofMillis(3500);
+
   private final EventLoop loop;
   private final NodeId self;
   private final ClusterView view;
@@ -60,7 +67,7 @@
     this.suspicions = new SuspicionReporter(loop, view, toLeader);
     this.owners =
         new OwnerResponsiveness(view, peers.health(), context.timing().heartbeatInterval());
-    this.held = new HeldHeartbeats(loop, this::settle, this::sendOn);
+    this.held = new HeldHeartbeats(loop, this::settle, this::holdLimit, this::sendOn);
   }
 
   /** Answers the heartbeat, or names the controller that should, now or as soon as it is known. */
@@ -159,28 +166,37 @@
   /** The worker tries another controller, since nobody is known who could answer it. */
   private void sendOn(Held next) {
     String body =
-        view.shardOf(next.heartbeat().machine())
-            .map(view.grants()::get)
-            .filter(grant -> !grant.owner().equals(self))
-            .flatMap(grant -> redirectPast(grant.owner()))
+        nextController(next.heartbeat())
+            .filter(node -> !node.equals(others().get(0)))
             .map(WorkerCodec::writeRedirect)
             .orElse(NO_REDIRECT);
     next.responder().respond(HttpStatus.MISDIRECTED_REQUEST, body);
   }
 
   /**
-   * A worker that is sent nowhere tries the next controller by itself. Where that is the very one
-   * that does not answer it, the one after is named: each attempt there costs a third of its lease.
+   * The next controller that could know who answers the worker. A worker that is sent nowhere tries
+   * the next one by itself; where that one does not answer workers, the one after it is named: each
+   * attempt in vain costs a third of a worker's lease.
    */
-  private Optional<NodeId> redirectPast(NodeId unresponsive) {
+  private Optional<NodeId> nextController(WorkerHeartbeat heartbeat) {
+    Optional<NodeId> owner =
+        view.shardOf(heartbeat.machine()).map(view.grants()::get).map(GrantRecord::owner);
+    return others().stream()
+        .filter(node -> !owner.equals(Optional.of(node)) && owners.answersWorkers(node))
+        .findFirst();
+  }
+
+  /** The other controllers in the order in which a worker tries them after this one. */
+  private List<NodeId> others() {
     List<NodeId> all = new ArrayList<>(peers.nodes());
     all.add(self);
     all.sort(Comparator.comparing(NodeId::value));
-    int own = all.indexOf(self);
-    if (!all.get((own + 1) % all.size()).equals(unresponsive)) {
-      return Optional.empty();
-    }
-    NodeId following = all.get((own + 2) % all.size());
-    return Optional.of(following).filter(node -> !node.equals(self) && owners.answersWorkers(node));
+    Collections.rotate(all, -all.indexOf(self));
+    return all.subList(1, all.size());
+  }
+
+  /** Where no other controller could answer, the worker may as well wait here. */
+  private Duration holdLimit(Held next) {
+    return nextController(next.heartbeat()).isPresent() ? HOLD_LIMIT : LONG_HOLD_LIMIT;
   }
 }
--- a/src/main/java/org/mulleinshift/sharding/HeldHeartbeats.java
+++ b/src/main/java/org/mulleinshift/sharding/HeldHeartbeats.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.mulleinshift.protocol.WorkerHeartbeat;
 import org.mulleinshift.transport.EventLoop;
@@ -17,9 +18,6 @@
  * meets a controller that can't answer it.
  */
 final class HeldHeartbeats {
-  /** Well below the time that a worker waits for a response. */
-  private static final Duration HOLD_LIMIT = Duration.ofMillis(2500);
-
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
   private static final int MAX_HEARTBEATS = 512;
 
@@ -35,6 +33,7 @@
 
   private final EventLoop loop;
   private final Predicate<Held> settle;
+  private final Function<Held, Duration> limit;
   private final Consumer<Held> giveUp;
   private final List<Held> held = new ArrayList<>();
   private int tasks;
@@ -43,11 +42,17 @@
    * Nothing is held.
    *
    * @param settle responds if it is known by now who should answer; returns whether it is
+   * @param limit for how long it may be held at the most
    * @param giveUp responds although it is not known
    */
-  HeldHeartbeats(EventLoop loop, Predicate<Held> settle, Consumer<Held> giveUp) {
+  HeldHeartbeats(
+      EventLoop loop,
+      Predicate<Held> settle,
+      Function<Held, Duration> limit,
+      Consumer<Held> giveUp) {
     this.loop = loop;
     this.settle = settle;
+    this.limit = limit;
     this.giveUp = giveUp;
   }
 
@@ -81,7 +86,7 @@
     if (settle.test(next)) {
       return true;
     }
-    boolean expired = loop.now().since(next.arrivedAt()).compareTo(HOLD_LIMIT) >= 0;
+    boolean expired = loop.now().since(next.arrivedAt()).compareTo(limit.apply(next)) >= 0;
     if (expired) {
       giveUp.accept(next);
     }
--- a/src/main/java/org/mulleinshift/sharding/ShardView.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardView.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.mulleinshift.membership.AssignableShard;
 import org.mulleinshift.model.ClusterView.MachineRecord;
 import org.mulleinshift.model.ClusterView.ShardRecord;
@@ -37,11 +39,14 @@
    */
   public record Grant(NodeId owner, Revision revision) {}
 
+  /** A machine reported to another controller than its owner. */
+  private record Suspicion(NodeId reporter, MonotonicTime at) {}
+
   private final ShardId id;
   private final ZoneId zone;
   private final Map<MachineId, MachineRecord> machines = new TreeMap<>();
   private final Map<MachineId, MachineStatus> statuses = new HashMap<>();
-  private final Map<MachineId, MonotonicTime> suspicions = new HashMap<>();
+  private final Map<MachineId, Suspicion> suspicions = new HashMap<>();
   private final PublishedAssignments assignments;
   private Optional<UnknownFields> unknownFields = Optional.empty();
   private Optional<Grant> grant = Optional.empty();
@@ -149,6 +154,11 @@
     return grant.isPresent() ? Duration.ZERO : now.since(grantChangedAt);
   }
 
+  @Override
+  public Duration grantUnchangedFor(MonotonicTime now) {
+    return now.since(grantChangedAt);
+  }
+
   /** Whether the status continues what is known; if not, the owner must send it from there. */
   public boolean isContiguous(ShardStatus status) {
     return status.getBase() <= lastSequence;
@@ -229,9 +239,9 @@
   }
 
   /** A machine reported elsewhere, since its owner does not answer it. */
-  public void onSuspicion(MachineId machine, MonotonicTime now) {
+  public void onSuspicion(MachineId machine, NodeId reporter, MonotonicTime now) {
     if (machines.containsKey(machine)) {
-      suspicions.put(machine, now);
+      suspicions.put(machine, new Suspicion(reporter, now));
     }
   }
 
@@ -240,10 +250,15 @@
    * report as alive: copies of heartbeats come late, also of machines that are well.
    */
   int suspicions(Duration within, MonotonicTime now) {
-    suspicions.values().removeIf(at -> now.since(at).compareTo(within) > 0);
+    suspicions.values().removeIf(suspicion -> now.since(suspicion.at()).compareTo(within) > 0);
     return (int) suspicions.keySet().stream().filter(machine -> !isAlive(machine)).count();
   }
 
+  @Override
+  public Set<NodeId> reachedLately() {
+    return suspicions.values().stream().map(Suspicion::reporter).collect(Collectors.toSet());
+  }
+
   private boolean isAlive(MachineId machine) {
     return statusOf(machine)
         .filter(status -> status.getLiveness().equals(MachineLiveness.ALIVE.wireName()))
