Test, failing: starts are ordered after a cancellation was answered

A new expectation counts commands to start a task that a controller sends after any controller has answered that its job is cancelled; what was on its way by then does not count.

--- a/src/test/java/org/mulleinshift/scenario/Expectations.java
+++ b/src/test/java/org/mulleinshift/scenario/Expectations.java
@@ -32,14 +32,22 @@
    * All kinds of expectations.
    *
    * @param endSeconds when the scenario ends
+   * @param ordersAfterCancellation what the controllers sent too late
    */
-  Expectations(ScenarioContext context, CommandTable table, double endSeconds) {
+  Expectations(
+      ScenarioContext context,
+      CommandTable table,
+      double endSeconds,
+      OrdersAfterCancellation ordersAfterCancellation) {
     this.context = context;
     this.endSeconds = endSeconds;
     JobExpectations.addTo(kinds, context.checker());
     StoreExpectations store = new StoreExpectations(context.cluster().store(), endSeconds);
     store.addTo(kinds);
     ClusterExpectations.addTo(kinds, context.cluster());
+    kinds.put(
+        "orders-after-cancel",
+        (line, limit) -> atMost(ordersAfterCancellation.count(), line.number(1)));
     table.add("remember", line -> store.rememberOwners());
     table.add("expect", this::check);
   }
--- a/src/test/java/org/mulleinshift/scenario/Scenario.java
+++ b/src/test/java/org/mulleinshift/scenario/Scenario.java
@@ -21,7 +21,7 @@
  */
 public final class Scenario {
   private final ScenarioSettings settings;
-  private final SentMessageListener sentMessages;
+  private final OrdersAfterCancellation sentMessages;
   private final List<String> failures = new ArrayList<>();
   private final VirtualTimeline timeline;
   private final InvariantChecker checker;
@@ -31,7 +31,7 @@
 
   private Scenario(List<String> lines, long seed, SentMessageListener sentMessages) {
     this.settings = new ScenarioSettings(lines);
-    this.sentMessages = sentMessages;
+    this.sentMessages = new OrdersAfterCancellation(sentMessages);
     this.timeline = new VirtualTimeline(seed);
     this.checker = new InvariantChecker(timeline, settings.teamLimits(), settings.cancelSeconds());
     this.cluster =
@@ -44,7 +44,8 @@
     new NetworkCommands(context, commands);
     new StoreCommands(context, commands, settings.storeLimits());
     new MachineCommands(context, commands);
-    this.expectations = new Expectations(context, commands, settings.endSeconds());
+    this.expectations =
+        new Expectations(context, commands, settings.endSeconds(), this.sentMessages);
   }
 
   /** Plays the file and returns everything that went wrong. */
