A cancellation is answered once every owner of shards knows of it

Change: it is announced to the other controllers (frames at the end of the union, sent once all have published level 3) and answered 200 when every owner has acknowledged; in doubt 503, at most for a shard lease.

--- a/src/main/java/org/mulleinshift/api/JobApi.java
+++ b/src/main/java/org/mulleinshift/api/JobApi.java
@@ -1,7 +1,6 @@
 package org.mulleinshift.api;
 
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.mulleinshift.memory.MemoryPressure;
 import org.mulleinshift.model.JobRecord;
@@ -32,7 +31,7 @@
    * @param retryAfterSeconds after which time a user should retry a request answered with 503
    * @param currentViewCheck confirms the view of active jobs that {@link #onActive} builds
    * @param memoryPressure how scarce the heap is: under pressure fewer requests are served
-   * @param onCancelled gets each job whose cancellation this node has stored
+   * @param notice makes cancellations known before they are acknowledged
    */
   public record Context(
       EventLoop loop,
@@ -42,7 +41,7 @@
       int retryAfterSeconds,
       CurrentViewCheck currentViewCheck,
       Supplier<MemoryPressure> memoryPressure,
-      Consumer<JobId> onCancelled) {}
+      CancellationNotice notice) {}
 
   private final KnownJobs knownJobs = new KnownJobs();
   private final JobStatusReader statusReader;
@@ -58,7 +57,7 @@
     this.responses = new JobResponseWriter(knownJobs, context.retryAfterSeconds());
     this.submissions = new SubmissionHandler(context, knownJobs, statusReader, responses);
     this.cancellations =
-        new CancellationHandler(store, knownJobs, statusReader, responses, context.onCancelled());
+        new CancellationHandler(store, knownJobs, statusReader, responses, context.notice());
   }
 
   /** The leader's latest task counts: it names the jobs with running or completed tasks. */
--- a/src/main/java/org/mulleinshift/compatibility/FeatureGates.java
+++ b/src/main/java/org/mulleinshift/compatibility/FeatureGates.java
@@ -31,7 +31,10 @@
   /** From this level on progress may be stored in the log. */
   public static final int PROGRESS_LOG = 2;
 
-  private static final int OWN_LEVEL = PROGRESS_LOG;
+  /** From this level on controllers announce cancellations to each other. */
+  public static final int CANCELLATION_NOTICES = 3;
+
+  private static final int OWN_LEVEL = CANCELLATION_NOTICES;
 
   private final EventLoop loop;
   private final KeyValueStore store;
--- a/src/main/java/org/mulleinshift/controller/ControllerComponents.java
+++ b/src/main/java/org/mulleinshift/controller/ControllerComponents.java
@@ -26,7 +26,6 @@
 import org.mulleinshift.store.StoreKeys;
 import org.mulleinshift.store.WatchCache;
 import org.mulleinshift.transport.EventLoop;
-import org.mulleinshift.transport.RateLimiter;
 import org.mulleinshift.transport.RequestHandler;
 
 /**
@@ -37,9 +36,6 @@
   /** A session's lease is renewed at least so often while it lasts. */
   private static final int RENEWALS_PER_LEASE = 5;
 
-  /** Share of the cloud's rate of requests that this controller uses. */
-  private static final double CLOUD_REQUEST_SHARE = 0.6;
-
   private final PlatformSettings settings;
   private final PlatformSettings.Cluster cluster;
   private final Tunables tunables;
@@ -70,6 +66,7 @@
   private final ControllerStatus status;
   private final OwnedShards ownedShards;
   private final FeatureGates featureGates;
+  private final CancellationAnnouncer cancellations;
   private final JobApi jobApi;
   private final CloudClient cloud;
   private final ControllerReadiness readiness;
@@ -104,12 +101,22 @@
     this.election = createElection();
     this.failover = createFailover();
     this.indirectRenewal = createIndirectRenewal();
-    this.catalog = createCatalog();
+    this.catalog =
+        new MachineTypeCatalog(
+            loop, ports.cloud(), settings.cloudAddress(), events::onPreconditionChange);
     this.status = createStatus();
     this.ownedShards = createOwnedShards();
     this.featureGates = new FeatureGates(loop, store, members.self(), members.all(), view);
+    this.cancellations =
+        new CancellationAnnouncer(
+            loop, members, view, featureGates, messenger, cancelledJobs, shardLease);
     this.jobApi = createJobApi();
-    this.cloud = createCloudClient();
+    this.cloud =
+        CloudClient.limited(
+            loop,
+            ports.cloud(),
+            settings.cloudAddress(),
+            cluster.cloudLimits().requestsPerSecond());
     this.readiness = createReadiness();
     this.locator = new LeaderLocator(view, storeHealth, failureDetector);
     this.leadership = createLeadership();
@@ -159,6 +166,11 @@
     return ownedShards;
   }
 
+  /** Announces cancellations to the other controllers. */
+  CancellationAnnouncer cancellations() {
+    return cancellations;
+  }
+
   /** Answers users. */
   JobApi jobApi() {
     return jobApi;
@@ -309,11 +321,6 @@
         message -> leadership.sendToLeader(message));
   }
 
-  private MachineTypeCatalog createCatalog() {
-    return new MachineTypeCatalog(
-        loop, ports.cloud(), settings.cloudAddress(), events::onPreconditionChange);
-  }
-
   private JobApi createJobApi() {
     return new JobApi(
         new JobApi.Context(
@@ -324,13 +331,7 @@
             tunables.count(Tunables.Key.RETRY_AFTER_S),
             activeJobs::confirmCurrent,
             ports.heapMonitor()::pressure,
-            cancelledJobs::add));
-  }
-
-  private CloudClient createCloudClient() {
-    double requestsPerSecond = cluster.cloudLimits().requestsPerSecond() * CLOUD_REQUEST_SHARE;
-    return new CloudClient(
-        ports.cloud(), settings.cloudAddress(), new RateLimiter(loop, requestsPerSecond));
+            cancellations));
   }
 
   private ControllerReadiness createReadiness() {
--- a/src/main/java/org/mulleinshift/controller/PeerMessageHandlers.java
+++ b/src/main/java/org/mulleinshift/controller/PeerMessageHandlers.java
@@ -1,6 +1,8 @@
 package org.mulleinshift.controller;
 
 import org.mulleinshift.protocol.peer.Heartbeat;
+import org.mulleinshift.protocol.peer.JobCancellation;
+import org.mulleinshift.protocol.peer.JobCancellationAck;
 import org.mulleinshift.protocol.peer.JobSummary;
 import org.mulleinshift.protocol.peer.LeadershipTransfer;
 import org.mulleinshift.protocol.peer.LearnedEstimates;
@@ -38,6 +40,8 @@
     dispatcher.register(
         LearnedEstimates.class,
         (sender, estimates) -> components.estimates().onEstimates(estimates));
+    dispatcher.register(JobCancellation.class, components.cancellations()::onAnnouncement);
+    dispatcher.register(JobCancellationAck.class, components.cancellations()::onAck);
     dispatcher.register(
         JobSummary.class, (sender, summary) -> components.jobApi().onSummary(summary));
   }
--- a/src/test/java/org/mulleinshift/api/JobApiTest.java
+++ b/src/test/java/org/mulleinshift/api/JobApiTest.java
@@ -149,7 +149,7 @@
                 RETRY_AFTER_SECONDS,
                 result -> result.accept(viewCurrent),
                 () -> memoryPressure,
-                job -> {}));
+                (job, result) -> result.accept(true)));
   }
 
   private Answer answerTo(Consumer<Responder> request) {
--- a/src/test/java/org/mulleinshift/protocol/PeerFrameSamples.java
+++ b/src/test/java/org/mulleinshift/protocol/PeerFrameSamples.java
@@ -8,6 +8,8 @@
 import org.mulleinshift.protocol.peer.AssignedTask;
 import org.mulleinshift.protocol.peer.BootTimeSamples;
 import org.mulleinshift.protocol.peer.Heartbeat;
+import org.mulleinshift.protocol.peer.JobCancellation;
+import org.mulleinshift.protocol.peer.JobCancellationAck;
 import org.mulleinshift.protocol.peer.JobSummary;
 import org.mulleinshift.protocol.peer.JobTaskCounts;
 import org.mulleinshift.protocol.peer.KeyChange;
@@ -185,6 +187,8 @@
     frames.put("stranger-report", List.of(UNKNOWN_WORKER_REPORT));
     frames.put("knock", List.of(OWNER_SUSPICION));
     frames.put("job-digest", List.of(JOB_SUMMARY));
+    frames.put("cancellation", List.of(new JobCancellation("run-11")));
+    frames.put("cancellation-ack", List.of(new JobCancellationAck("run-12")));
     frames.put("several-bodies", List.of(OWNER_SUSPICION, HEARTBEAT, SHARD_STATUS_ACK));
     return frames;
   }
