--- a/src/test/java/org/mulleinshift/simulation/SimulatedUser.java
+++ b/src/test/java/org/mulleinshift/simulation/SimulatedUser.java
@@ -6,9 +6,12 @@
 import org.mulleinshift.invariants.ObservedJob;
 import org.mulleinshift.simulation.time.Timeline;
 import org.mulleinshift.transport.HttpResponse;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Submits one job, retries what failed, polls until it has ended, and may cancel it. */
 public final class SimulatedUser {
+  private static final Logger LOG = LoggerFactory.getLogger(SimulatedUser.class);
   private static final String JOBS_PATH = "/v2/runs";
   private static final double POLL_SECONDS = 5;
   private static final double POLL_TIMEOUT_SECONDS = 2;
@@ -183,6 +186,15 @@
    * @param askedAt when the request was sent, seconds
    */
   void receive(HttpResponse reply, double askedAt) {
+    if (LOG.isDebugEnabled()) {
+      LogOrigin.enter("user", timeline.seconds());
+      LOG.debug(
+          "answered, job={} asked_at={} status={} phase={}",
+          job.id(),
+          askedAt,
+          reply.status(),
+          phaseIn(reply));
+    }
     checker.answers().answered(job.id(), askedAt, reply.status(), phaseIn(reply));
   }
 
