A refused probe of late boots is repeated at once with the next offer

Cause: BootProbe noted a probe when it asked; a spot offer that the cloud refused used up the boot time until the next one (49, seed 13: refused at 19.8, 29.8, 39.8, 49.8, 69.8, 79.8). Change: a probe that is refused altogether is due again at once.

--- a/src/main/java/org/mulleinshift/autoscaling/Autoscaler.java
+++ b/src/main/java/org/mulleinshift/autoscaling/Autoscaler.java
@@ -179,6 +179,9 @@
   public void onRefused(ProvisioningRequest request, Refusal refusal) {
     offers.onRefused(Offer.of(request), refusal);
     scaleOut.onRefused();
+    if (refusal == Refusal.TOTAL) {
+      bootProbe.onRefused(Offer.of(request));
+    }
   }
 
   @Override
--- a/src/main/java/org/mulleinshift/autoscaling/BootProbe.java
+++ b/src/main/java/org/mulleinshift/autoscaling/BootProbe.java
@@ -22,7 +22,10 @@
   private final OfferSelector offers;
   private final Provisioner provisioner;
   private final BootMonitor boots;
-  private final Map<MachineTypeId, MonotonicTime> probedAt = new HashMap<>();
+  private final Map<MachineTypeId, Probe> latest = new HashMap<>();
+
+  /** A probe and when it was made. */
+  private record Probe(Offer offer, MonotonicTime at) {}
 
   BootProbe(EventLoop loop, OfferSelector offers, Provisioner provisioner, BootMonitor boots) {
     this.loop = loop;
@@ -41,16 +44,27 @@
   }
 
   private boolean isDue(MachineTypeId type, double horizonSeconds) {
-    MonotonicTime last = probedAt.get(type);
+    Probe last = latest.get(type);
     return boots.isDelayed(type)
-        && (last == null || loop.now().secondsSince(last) >= horizonSeconds);
+        && (last == null || loop.now().secondsSince(last.at()) >= horizonSeconds);
+  }
+
+  /**
+   * The cloud refused an offer. If it was a probe, nothing boots that could show anything: the next
+   * one is due at once, for another offer.
+   */
+  void onRefused(Offer offer) {
+    Probe last = latest.get(offer.type());
+    if (last != null && last.offer().equals(offer)) {
+      latest.remove(offer.type());
+    }
   }
 
   private void probe(MachineTypeId type, List<PendingGroup> waiting) {
     for (PendingGroup group : waiting) {
       Optional<Offer> offer = offerOf(type, group);
       if (offer.isPresent()) {
-        probedAt.put(type, loop.now());
+        latest.put(type, new Probe(offer.get(), loop.now()));
         provisioner.provision(offer.get(), 1 + boots.delayedCount(type) / DELAYED_PER_PROBE);
         return;
       }
