An inherited task that a late copy listed is not lost before all machines are accounted for

Change: only a confirmed placement makes absence from one machine a loss; else the task waits until all machines are accounted for.

--- a/src/main/java/org/mulleinshift/sharding/HeartbeatReconciler.java
+++ b/src/main/java/org/mulleinshift/sharding/HeartbeatReconciler.java
@@ -45,9 +45,9 @@
     }
     boolean newEpoch = isNewEpoch(machine, heartbeat);
     recordHeartbeat(machine, heartbeat);
-    Set<TaskId> listed = applyTasks(machine, heartbeat);
     boolean knowsToken = machine.isTokenKnownBy(heartbeat);
     state.transition(machine, knowsToken ? MachinePhase.CONFIRMED : MachinePhase.REPORTING);
+    Set<TaskId> listed = applyTasks(machine, heartbeat);
     for (OwnedTask task : machine.tasks()) {
       if (!listed.contains(task.task())) {
         onTaskMissing(machine, task, newEpoch, knowsToken);
@@ -117,7 +117,9 @@
 
   private void onTaskReported(
       OwnedMachine machine, OwnedTask task, WorkerHeartbeat.ReportedTask entry) {
-    if (task.bound() && !task.boundTo(machine.id())) {
+    boolean elsewhere = task.bound() && !task.boundTo(machine.id());
+    boolean confirmed = machine.phase() == MachinePhase.CONFIRMED;
+    if (elsewhere && (task.placementConfirmed() || !confirmed)) {
       LOG.error(
           "task reported by two machines, task={} machine={} other={}",
           task.task(),
@@ -129,9 +131,12 @@
     if (phase == TaskPhase.RUNNING) {
       recordImage(machine, task);
     }
-    if (task.phase() != phase) {
+    if (task.phase() != phase || elsewhere) {
       state.bind(task, phase, machine.id());
     }
+    if (confirmed) {
+      task.confirmPlacement();
+    }
   }
 
   private void recordImage(OwnedMachine machine, OwnedTask task) {
--- a/src/main/java/org/mulleinshift/sharding/OwnedTask.java
+++ b/src/main/java/org/mulleinshift/sharding/OwnedTask.java
@@ -22,6 +22,9 @@
   private long ranMillis;
   private boolean stopRequested;
 
+  /** Whether it is known to have been on its machine under the shard's current grant. */
+  private boolean placementConfirmed;
+
   /**
    * A task that is on no machine yet.
    *
@@ -59,6 +62,9 @@
     if (where.isPresent()) {
       machine = where;
     }
+    if (next == TaskPhase.NEW) {
+      runningSince = Optional.empty();
+    }
     if (next == TaskPhase.RUNNING && runningSince.isEmpty()) {
       runningSince = Optional.of(now);
     }
@@ -83,6 +89,20 @@
     return bound() ? machine : Optional.empty();
   }
 
+  /**
+   * It was on its machine under the current grant: placed by this owner, or listed by a worker that
+   * has received the grant's token. What a worker listed before that may be out of date, and the
+   * task may have been started elsewhere since.
+   */
+  void confirmPlacement() {
+    placementConfirmed = true;
+  }
+
+  /** Whether its absence from its machine shows that it is on none. */
+  boolean placementConfirmed() {
+    return placementConfirmed || fresh;
+  }
+
   /** It is to stop, or not to start. */
   void requestStop() {
     stopRequested = true;
--- a/src/main/java/org/mulleinshift/sharding/ShardState.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardState.java
@@ -139,9 +139,17 @@
     transition(task, finalPhase, Optional.empty());
   }
 
-  /** The task is provably absent from its machine. */
+  /**
+   * The task is provably absent from its machine. If it was never confirmed to be there it may be
+   * on another one: it waits until all are accounted for, as at the beginning of the grant.
+   */
   void finishAbsent(OwnedTask task) {
-    finish(task, task.stopRequested() ? TaskPhase.STOPPED : TaskPhase.LOST);
+    if (task.placementConfirmed()) {
+      finish(task, task.stopRequested() ? TaskPhase.STOPPED : TaskPhase.LOST);
+    } else {
+      transition(task, TaskPhase.NEW, Optional.empty());
+      unplaced.add(task);
+    }
   }
 
   /** Nothing can run on the machine any more. */
--- a/src/main/java/org/mulleinshift/sharding/TaskPlacer.java
+++ b/src/main/java/org/mulleinshift/sharding/TaskPlacer.java
@@ -117,6 +117,7 @@
     }
     best.get().allocate(task.request());
     state.bind(task, TaskPhase.STARTING, best.get().machine());
+    task.confirmPlacement();
     state.machine(best.get().machine()).orElseThrow().markCommandsPending();
     return true;
   }
--- a/src/test/java/org/mulleinshift/scenario/RandomScenarioTest.java
+++ b/src/test/java/org/mulleinshift/scenario/RandomScenarioTest.java
@@ -46,6 +46,12 @@
     play(new ScenarioCatalog.Entry("drawn-progress-log", RandomScenario::loggedLines), 50);
   }
 
+  /** The seed on which a task ran twice after a late copy of a report, see InheritedTasksTest. */
+  @Test
+  void aTaskThatALateCopyListsIsNotLost() throws SettingsException {
+    play(new ScenarioCatalog.Entry("drawn-meetings", RandomScenario::pairedLines), 2187);
+  }
+
   private static void play(ScenarioCatalog.Entry family, long seed) throws SettingsException {
     List<String> lines = family.lines().apply(seed);
     KnownFailures.Verdict verdict =
