--- a/src/test/java/org/mulleinshift/scalerun/ScaleCell.java
+++ b/src/test/java/org/mulleinshift/scalerun/ScaleCell.java
@@ -77,6 +77,10 @@
   private final ByteCounter cloudBytes = new ByteCounter();
   private final List<HttpListener> listeners = new ArrayList<>();
   private final List<ControllerProcess> controllers = new ArrayList<>();
+
+  /** The controller that no heartbeat reaches; null if all are reached. */
+  private ControllerProcess unreachable;
+
   private final Map<String, SimulatedWorker> workersByAddress = new ConcurrentHashMap<>();
   private final Map<SimulatedWorker, HttpConnection> connections = new ConcurrentHashMap<>();
   private int storeRequests;
@@ -247,6 +251,9 @@
     @Override
     public void send(
         SimulatedWorker worker, int controller, String body, Consumer<HttpResponse> reply) {
+      if (controllers.get(controller).equals(unreachable)) {
+        return;
+      }
       connections
           .get(worker)
           .send(
@@ -276,11 +283,24 @@
       case "restart-workers" ->
           timeline.post(() -> workersOf(some((int) amount)).forEach(SimulatedWorker::reboot));
       case "zone-dark" -> timeline.post(() -> hangZone(CellSettings.ZONES.get(0), amount));
+      case "controller-unreachable" -> loseWorkers(amount);
       case "state-out" -> storeTimeline.post(() -> store.outage(amount));
       default -> throw new IllegalArgumentException("no such trouble: " + fault);
     }
   }
 
+  /** The workers' heartbeats to a controller that does not lead are lost for a while. */
+  private void loseWorkers(double seconds) {
+    ControllerProcess leader = leader();
+    ControllerProcess follower =
+        controllers.stream()
+            .filter(controller -> !controller.equals(leader))
+            .findFirst()
+            .orElseThrow();
+    timeline.post(() -> unreachable = follower);
+    timeline.post(() -> timeline.after(seconds, () -> unreachable = null));
+  }
+
   private List<SimulatedMachine> some(int count) {
     List<SimulatedMachine> up = new ArrayList<>(cloud.up());
     Collections.shuffle(up, new Random(options.seed));
--- a/src/test/java/org/mulleinshift/scalerun/ScaleOptions.java
+++ b/src/test/java/org/mulleinshift/scalerun/ScaleOptions.java
@@ -100,7 +100,8 @@
       names = "--trouble",
       description =
           "AT:KIND[:NUMBER], AT in seconds: kill-leader, kill-controller:INDEX, kill-workers:N,"
-              + " restart-workers:N, zone-dark:SECONDS, state-out:SECONDS.")
+              + " restart-workers:N, zone-dark:SECONDS, state-out:SECONDS,"
+              + " controller-unreachable:SECONDS (by workers).")
   List<String> troubles = new ArrayList<>();
 
   @Option(
--- a/src/test/java/org/mulleinshift/scalerun/ScaleTroubles.java
+++ b/src/test/java/org/mulleinshift/scalerun/ScaleTroubles.java
@@ -2,9 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /** Troubles of a scale run at their times, and how long each cell started no task. */
 final class ScaleTroubles {
+  private static final Set<String> LASTING =
+      Set.of("zone-dark", "state-out", "controller-unreachable");
+
   private record Trouble(double at, String kind, double amount) {
     static Trouble read(String text) {
       String[] words = text.split(":", 0);
@@ -17,7 +21,7 @@
 
     /** When it is over, as far as its line says. */
     double until() {
-      boolean lasts = kind.equals("zone-dark") || kind.equals("state-out");
+      boolean lasts = LASTING.contains(kind);
       return at + (lasts ? amount : 0);
     }
   }
