--- a/src/main/java/org/mulleinshift/controller/ControllerComponents.java
+++ b/src/main/java/org/mulleinshift/controller/ControllerComponents.java
@@ -86,7 +86,7 @@
     this.shardLease = Leases.shardLease(cluster.workerTiming(), tunables);
     this.estimates = new EstimateReplicator(loop, runTimes);
     this.rateLimits = new StoreRateLimits(cluster);
-    this.store = createStore();
+    this.store = rateLimits.createClient(ports, settings.storeAddress());
     this.cancelledJobs = new CancelledJobs(events::onJobCancelled);
     this.currentTerm =
         new CurrentTerm(loop, store, rateLimits, this::createLeader, events::onCandidacyChange);
@@ -101,22 +101,13 @@
     this.election = createElection();
     this.failover = createFailover();
     this.indirectRenewal = createIndirectRenewal();
-    this.catalog =
-        new MachineTypeCatalog(
-            loop, ports.cloud(), settings.cloudAddress(), events::onPreconditionChange);
+    this.catalog = createCatalog();
     this.status = createStatus();
     this.ownedShards = createOwnedShards();
     this.featureGates = new FeatureGates(loop, store, members.self(), members.all(), view);
-    this.cancellations =
-        new CancellationAnnouncer(
-            loop, members, view, featureGates, messenger, cancelledJobs, shardLease);
+    this.cancellations = createCancellations();
     this.jobApi = createJobApi();
-    this.cloud =
-        CloudClient.limited(
-            loop,
-            ports.cloud(),
-            settings.cloudAddress(),
-            cluster.cloudLimits().requestsPerSecond());
+    this.cloud = createCloudClient();
     this.readiness = createReadiness();
     this.locator = new LeaderLocator(view, storeHealth, failureDetector);
     this.leadership = createLeadership();
@@ -206,19 +197,6 @@
     heartbeats.start();
   }
 
-  private KeyValueStore createStore() {
-    return new KeyValueStore(
-        loop,
-        ports.store(),
-        ports.watches(),
-        settings.storeAddress(),
-        new KeyValueStore.Rates(
-            rateLimits.requests(),
-            rateLimits.followerWrites(),
-            cluster.storeLimits().requestsShareAfterReduction(),
-            cluster.storeLimits().writesShareAfterReduction()));
-  }
-
   private WatchCache createControlKeys() {
     ControlKeysListener listener =
         new ControlKeysListener(view, events::onGrantsChange, events::onViewChange);
@@ -321,6 +299,21 @@
         message -> leadership.sendToLeader(message));
   }
 
+  private MachineTypeCatalog createCatalog() {
+    return new MachineTypeCatalog(
+        loop, ports.cloud(), settings.cloudAddress(), events::onPreconditionChange);
+  }
+
+  private CancellationAnnouncer createCancellations() {
+    return new CancellationAnnouncer(
+        loop, members, view, featureGates, messenger, cancelledJobs, shardLease);
+  }
+
+  private CloudClient createCloudClient() {
+    return CloudClient.limited(
+        loop, ports.cloud(), settings.cloudAddress(), cluster.cloudLimits().requestsPerSecond());
+  }
+
   private JobApi createJobApi() {
     return new JobApi(
         new JobApi.Context(
--- a/src/main/java/org/mulleinshift/controller/StoreRateLimits.java
+++ b/src/main/java/org/mulleinshift/controller/StoreRateLimits.java
@@ -1,7 +1,9 @@
 package org.mulleinshift.controller;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.store.KeyValueStore;
 
 /** How the controllers of a cluster share the store's rates of requests and writes. */
 final class StoreRateLimits {
@@ -34,6 +36,20 @@
     this.cluster = cluster;
   }
 
+  /** A client of the store that keeps to the rates of a controller that does not lead. */
+  KeyValueStore createClient(Controller.Ports ports, InetSocketAddress address) {
+    return new KeyValueStore(
+        ports.loop(),
+        ports.store(),
+        ports.watches(),
+        address,
+        new KeyValueStore.Rates(
+            requests(),
+            followerWrites(),
+            cluster.storeLimits().requestsShareAfterReduction(),
+            cluster.storeLimits().writesShareAfterReduction()));
+  }
+
   /** Requests a second of one controller. */
   double requests() {
     double evenShare = 1.0 / Math.max(1, cluster.size());
--- a/src/test/java/org/mulleinshift/controller/CancellationAnnouncerTest.java
+++ b/src/test/java/org/mulleinshift/controller/CancellationAnnouncerTest.java
@@ -106,7 +106,7 @@
   @Test
   void isKnownOnceNoOwnerThatDoesNotKnowMayAct() {
     announce();
-    loop.runFor(LEASE.toSeconds());
+    loop.runFor(LEASE.toMillis() / 1000.0);
     announce();
     assertEquals(List.of(false, true), results);
   }
