Tests, failing: jobs that depend on a cancelled one are told so late, or told that they wait

Scenario 153: users cancel jobs whose tasks have just ended, four pairs a second at 25 writes a second. New for them: the command pairs and the expectation dependents-cancelled.

--- a/src/test/java/org/mulleinshift/invariants/ObservedJobs.java
+++ b/src/test/java/org/mulleinshift/invariants/ObservedJobs.java
@@ -98,6 +98,23 @@
     return first;
   }
 
+  /**
+   * The longest time from when a user was first told that a dependency is cancelled until the user
+   * of the dependent job was told so; counted to {@code now} if that has not happened.
+   */
+  public double maxDependentCancellationSeconds(double now) {
+    return jobs.values().stream()
+        .filter(ObservedJob::accepted)
+        .mapToDouble(job -> dependentCancellationSeconds(job, now))
+        .max()
+        .orElse(0);
+  }
+
+  private double dependentCancellationSeconds(ObservedJob job, double now) {
+    OptionalDouble since = dependencyCancelledAt(job);
+    return since.isPresent() ? job.cancelledAt().orElse(now) - since.getAsDouble() : 0;
+  }
+
   boolean dependenciesDone(ObservedJob job) {
     return job.dependencies().stream().allMatch(id -> jobs.get(id).allTasksCompleted());
   }
--- a/src/test/java/org/mulleinshift/scenario/Expectations.java
+++ b/src/test/java/org/mulleinshift/scenario/Expectations.java
@@ -41,7 +41,7 @@
       OrdersAfterCancellation ordersAfterCancellation) {
     this.context = context;
     this.endSeconds = endSeconds;
-    JobExpectations.addTo(kinds, context.checker());
+    JobExpectations.addTo(kinds, context.checker(), context.timeline());
     StoreExpectations store = new StoreExpectations(context.cluster().store(), endSeconds);
     store.addTo(kinds);
     ClusterExpectations.addTo(kinds, context.cluster());
--- a/src/test/java/org/mulleinshift/scenario/JobCommands.java
+++ b/src/test/java/org/mulleinshift/scenario/JobCommands.java
@@ -23,6 +23,9 @@
   /** Cancellations at a job's end come up to so much after its last task is nearly done. */
   private static final double CANCEL_AT_END_SECONDS = 0.012;
 
+  /** A dependent is submitted once its dependency is accepted. */
+  private static final double DEPENDENT_DELAY_SECONDS = 0.2;
+
   private final ScenarioContext context;
   private final Timeline timeline;
   private final InvariantChecker checker;
@@ -40,6 +43,7 @@
     table.add("chain", this::submitChain);
     table.add("star", this::submitStar);
     table.add("fan", this::submitFan);
+    table.add("pairs", this::submitPairs);
     table.add("resubmit", this::resubmit);
     table.add("cancel", line -> users.get(line.word(1)).cancel());
     table.addFault("cancel-now", this::cancelNow);
@@ -112,6 +116,24 @@
     submit(line.word(1), fields);
   }
 
+  /**
+   * {@code pairs run-5 run-1 200 0.2 tasks=1}: as a swarm, but with each job one that depends on it
+   * and is submitted a little later: run-50000 depends on run-10000.
+   */
+  private void submitPairs(ScenarioLine line) {
+    Map<String, String> fields = line.fields(FIFTH);
+    double interval = line.number(FOURTH);
+    for (int i = 0; i < line.integer(THIRD); i++) {
+      String dependency = numbered(line.word(2), i);
+      String dependent = numbered(line.word(1), i);
+      Map<String, String> dependentFields = new HashMap<>(fields);
+      dependentFields.put("awaits", dependency);
+      double at = interval * i;
+      timeline.after(at, () -> submit(dependency, fields));
+      timeline.after(at + DEPENDENT_DELAY_SECONDS, () -> submit(dependent, dependentFields));
+    }
+  }
+
   /** Submits a job again, changed. */
   private void resubmit(ScenarioLine line) {
     ObservedJob changed = new ObservedJob(line.word(1), line.fields(2));
