Log: terms of what a leader writes about jobs, ends that wait, conflicts by kind, reads of a term's start

From the records of the incident nobody could tell whose term stored an end, how long it had waited, how many waited before it, that transactions conflicted for every other end, nor what an answer rested on. What an answer rested on is logged at debug level. No message changes.

--- a/src/main/java/org/mulleinshift/api/JobApi.java
+++ b/src/main/java/org/mulleinshift/api/JobApi.java
@@ -8,6 +8,7 @@
 import org.mulleinshift.protocol.JobCodec;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.peer.JobSummary;
 import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.store.KeyValueStore;
@@ -76,6 +77,11 @@
     submissions.onNoLongerActive(id);
   }
 
+  /** All changes of active jobs up to the revision were shown. */
+  public void onCaughtUp(Revision revision) {
+    knownJobs.onCaughtUp(revision);
+  }
+
   /** Handles the body of a submission. */
   public void submit(String body, Responder responder) {
     submissions.submit(body, responder);
--- a/src/main/java/org/mulleinshift/api/JobResponseWriter.java
+++ b/src/main/java/org/mulleinshift/api/JobResponseWriter.java
@@ -11,12 +11,15 @@
 import org.mulleinshift.protocol.peer.JobTaskCounts;
 import org.mulleinshift.transport.HttpStatus;
 import org.mulleinshift.transport.Responder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Writes the responses about jobs, with the task counts of the leader's latest summary. In doubt
  * the response is 503.
  */
 final class JobResponseWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(JobResponseWriter.class);
   private static final JobTaskCounts NO_TASKS = new JobTaskCounts("", 0, 0);
 
   private final KnownJobs knownJobs;
@@ -80,6 +83,12 @@
         phase.isTerminal()
             ? Optional.empty()
             : Optional.ofNullable(taskCounts.get(id.value())).or(() -> defaultCounts);
+    LOG.debug(
+        "job answered, job={} phase={} view_revision={} counts={}",
+        id,
+        phase,
+        knownJobs.viewRevision(),
+        counts);
     OptionalInt done = counts.map(c -> OptionalInt.of(c.getDone())).orElse(OptionalInt.empty());
     OptionalInt running =
         counts.map(c -> OptionalInt.of(c.getRunning())).orElse(OptionalInt.empty());
--- a/src/main/java/org/mulleinshift/api/KnownJobs.java
+++ b/src/main/java/org/mulleinshift/api/KnownJobs.java
@@ -8,6 +8,7 @@
 import org.mulleinshift.model.JobRecord;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.protocol.Revision;
 
 /**
  * What this node knows of jobs without asking the store: the view of the active ones, which may lag
@@ -18,8 +19,19 @@
 
   private final Map<JobId, JobPhase> terminalPhases = new BoundedMap<>(MAX_CACHED_TERMINAL_PHASES);
   private final Map<JobId, JobStatus> active = new HashMap<>();
+  private Revision viewRevision = new Revision(0);
   private final CascadingCancellations cascadingCancellations = new CascadingCancellations();
 
+  /** All changes up to the revision were shown. */
+  void onCaughtUp(Revision revision) {
+    viewRevision = revision;
+  }
+
+  /** The revision up to which the view of active jobs is known to be complete. */
+  Revision viewRevision() {
+    return viewRevision;
+  }
+
   /** The view shows an active job; without a record, one that this build can't read. */
   void onActive(JobId id, Optional<JobRecord> record) {
     active.put(id, record.<JobStatus>map(JobStatus.Active::new).orElse(new JobStatus.Unknown()));
--- a/src/main/java/org/mulleinshift/controller/ActiveJobsListener.java
+++ b/src/main/java/org/mulleinshift/controller/ActiveJobsListener.java
@@ -18,8 +18,8 @@
     /** A job is active no longer. */
     void onNoLongerActive(JobId id);
 
-    /** All changes known so far were handed over. */
-    void onCaughtUp();
+    /** All changes up to the revision were handed over. */
+    void onCaughtUp(Revision revision);
 
     /** The active jobs were handed over for the first time. */
     void onLoaded();
@@ -74,7 +74,7 @@
 
   @Override
   public void onCaughtUp(Revision revision) {
-    subscriber.onCaughtUp();
+    subscriber.onCaughtUp(revision);
     if (!loaded) {
       loaded = true;
       subscriber.onLoaded();
--- a/src/main/java/org/mulleinshift/controller/ComponentEvents.java
+++ b/src/main/java/org/mulleinshift/controller/ComponentEvents.java
@@ -6,6 +6,7 @@
 import org.mulleinshift.membership.StoreHealth;
 import org.mulleinshift.model.JobRecord;
 import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.transport.MonotonicTime;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -60,7 +61,8 @@
   }
 
   @Override
-  public void onCaughtUp() {
+  public void onCaughtUp(Revision revision) {
+    components.jobApi().onCaughtUp(revision);
     components.activeJobs().currentAsOf().ifPresent(components.session()::onCancellationsKnown);
   }
 
--- a/src/main/java/org/mulleinshift/dependencies/DependencyLoader.java
+++ b/src/main/java/org/mulleinshift/dependencies/DependencyLoader.java
@@ -20,6 +20,7 @@
 import org.mulleinshift.store.KeyValueStore.ReadResult;
 import org.mulleinshift.store.StoreKeys;
 import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.MonotonicTime;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -32,6 +33,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(DependencyLoader.class);
   private static final int MAX_CONCURRENT_READS = 8;
   private static final Duration RETRY_DELAY = Duration.ofMillis(300);
+  private static final Duration LOGGED_DURATION = Duration.ofSeconds(1);
 
   private final EventLoop loop;
   private final KeyValueStore store;
@@ -40,6 +42,9 @@
   private final Deque<Runnable> queue = new ArrayDeque<>();
   private final Set<JobId> requestedEnds = new HashSet<>();
   private int readsInFlight;
+  private int readsInARow;
+  private int retries;
+  private MonotonicTime busySince;
 
   /**
    * A loader for one term.
@@ -56,6 +61,7 @@
     this.store = store;
     this.serving = serving;
     this.onEnded = onEnded;
+    this.busySince = loop.now();
   }
 
   /** Reads how a job ended that is not active, unless that is being read already. */
@@ -141,7 +147,11 @@
 
   private void startReads() {
     while (readsInFlight < MAX_CONCURRENT_READS && !queue.isEmpty()) {
+      if (readsInFlight == 0 && readsInARow == 0) {
+        busySince = loop.now();
+      }
       readsInFlight++;
+      readsInARow++;
       queue.poll().run();
     }
   }
@@ -159,6 +169,7 @@
           } else if (answer instanceof ReadResult.Absent<KeyValue>) {
             finishRead(onAnswer, Optional.empty());
           } else {
+            retries++;
             loop.after(RETRY_DELAY, () -> read(key, onAnswer));
           }
         });
@@ -168,5 +179,18 @@
     readsInFlight--;
     onAnswer.accept(item);
     startReads();
+    if (readsInFlight == 0) {
+      logReads();
+    }
+  }
+
+  private void logReads() {
+    Duration took = loop.now().since(busySince);
+    if (took.compareTo(LOGGED_DURATION) >= 0) {
+      LOG.info(
+          "dependencies read, reads={} retries={} ms={}", readsInARow, retries, took.toMillis());
+    }
+    readsInARow = 0;
+    retries = 0;
   }
 }
--- a/src/main/java/org/mulleinshift/dependencies/DependencyResolver.java
+++ b/src/main/java/org/mulleinshift/dependencies/DependencyResolver.java
@@ -12,6 +12,7 @@
 import org.mulleinshift.model.Job;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.protocol.Revision;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,6 +40,7 @@
   private final PriorityPropagation priorities;
   private final Listener listener;
   private final LongSupplier wallMillis;
+  private final Revision term;
   private boolean changed;
 
   /**
@@ -47,12 +49,15 @@
    * @param activeJobs the jobs that do not wait
    * @param listener is notified of released and cancelled jobs
    * @param wallMillis the wall clock in milliseconds
+   * @param term the term, for the log
    */
-  DependencyResolver(ActiveJobs activeJobs, Listener listener, LongSupplier wallMillis) {
+  DependencyResolver(
+      ActiveJobs activeJobs, Listener listener, LongSupplier wallMillis, Revision term) {
     this.activeJobs = activeJobs;
     this.priorities = new PriorityPropagation(graph, this::findUnfinished, activeJobs);
     this.listener = listener;
     this.wallMillis = wallMillis;
+    this.term = term;
   }
 
   /** Adds a job that waits; its dependencies are unknown until {@link #addDependencies}. */
@@ -115,7 +120,8 @@
   void onCancelled(JobId cancelled) {
     List<JobId> dependents = graph.transitiveDependentsOf(cancelled);
     if (!dependents.isEmpty()) {
-      LOG.info("dependents cancelled, job={} dependents={}", cancelled, dependents.size());
+      LOG.info(
+          "dependents cancelled, term={} job={} dependents={}", term, cancelled, dependents.size());
     }
     List<Job> jobs = new ArrayList<>();
     for (JobId id : dependents) {
--- a/src/main/java/org/mulleinshift/dependencies/DependencyTracker.java
+++ b/src/main/java/org/mulleinshift/dependencies/DependencyTracker.java
@@ -71,7 +71,10 @@
     this.term = term;
     this.resolver =
         new DependencyResolver(
-            new ActiveJobs(loop, jobs, runTimes), new ResolverListener(), loop::wallMillis);
+            new ActiveJobs(loop, jobs, runTimes),
+            new ResolverListener(),
+            loop::wallMillis,
+            batcher.term());
     this.propagatedAt = loop.now();
     this.loader = new DependencyLoader(loop, store, term::isServing, resolver::onEnded);
   }
--- a/src/main/java/org/mulleinshift/leader/TermComponents.java
+++ b/src/main/java/org/mulleinshift/leader/TermComponents.java
@@ -59,7 +59,7 @@
     this.batchLimits = BatchLimits.of(context.settings().cluster().storeLimits());
     this.batcher = createBatcher();
     this.cluster = createClusterState();
-    this.loader = new TermLoader(context.loop(), context.store(), state::isLoading);
+    this.loader = new TermLoader(context.loop(), context.store(), state::isLoading, term);
     this.jobs = createJobLifecycle();
     this.availableCapacity = new AvailableCapacity(cluster);
     this.scheduling = createScheduling();
--- a/src/main/java/org/mulleinshift/progress/JobEndMutation.java
+++ b/src/main/java/org/mulleinshift/progress/JobEndMutation.java
@@ -79,7 +79,8 @@
   public void onCommitted(Revision revision) {
     JobId id = job.spec().id();
     LOG.info(
-        "job ended, job={} phase={} {}",
+        "job ended, term={} job={} phase={} {}",
+        batcher.term(),
         id,
         job.terminalPhase().wireName(),
         job.summary(endedMillis));
--- /dev/null
+++ b/src/main/java/org/mulleinshift/progress/PendingEnds.java
@@ -0,0 +1,78 @@
+package org.mulleinshift.progress;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.mulleinshift.model.Job;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.transport.EventLoop;
+import org.mulleinshift.transport.MonotonicTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The jobs of a term whose end waits to be stored; logs when they wait for long. */
+final class PendingEnds {
+  private static final Logger LOG = LoggerFactory.getLogger(PendingEnds.class);
+  private static final Duration LOGGED_AGE = Duration.ofSeconds(2);
+  private static final Duration LOG_INTERVAL = Duration.ofSeconds(10);
+
+  /** A job, and since when its end waits. */
+  private record PendingEnd(Job job, MonotonicTime since) {}
+
+  private final EventLoop loop;
+  private final Revision term;
+
+  /** The longest waiting one first. */
+  private final Map<JobId, PendingEnd> ends = new LinkedHashMap<>();
+
+  private MonotonicTime loggedAt;
+
+  PendingEnds(EventLoop loop, Revision term) {
+    this.loop = loop;
+    this.term = term;
+    this.loggedAt = loop.now().minus(LOG_INTERVAL);
+  }
+
+  /** The end of the job is to be stored. */
+  void add(Job job) {
+    ends.putIfAbsent(job.spec().id(), new PendingEnd(job, loop.now()));
+  }
+
+  /** Logs how many ends wait, and for how long, if the oldest one has waited for some time. */
+  void logDelay() {
+    ends.values().removeIf(end -> end.job().state() == Job.State.ENDED);
+    MonotonicTime now = loop.now();
+    if (ends.isEmpty() || now.since(loggedAt).compareTo(LOG_INTERVAL) < 0) {
+      return;
+    }
+    PendingEnd oldest = ends.values().iterator().next();
+    if (now.since(oldest.since()).compareTo(LOGGED_AGE) < 0) {
+      return;
+    }
+    loggedAt = now;
+    LOG.info(
+        "job ends wait to be stored, term={} {} with_dependency: {}",
+        term,
+        describe(ends.values(), now),
+        describe(cancelledWithDependency(), now));
+  }
+
+  private Collection<PendingEnd> cancelledWithDependency() {
+    return ends.values().stream()
+        .filter(end -> end.job().cancelled() && !end.job().dependencies().isEmpty())
+        .toList();
+  }
+
+  private static String describe(Collection<PendingEnd> waiting, MonotonicTime now) {
+    return waiting.stream()
+        .findFirst()
+        .map(
+            oldest ->
+                String.format(
+                    "waiting=%d oldest=%s age_ms=%d",
+                    waiting.size(), oldest.job().spec().id(), now.since(oldest.since()).toMillis()))
+        .orElse("waiting=0");
+  }
+}
--- a/src/main/java/org/mulleinshift/progress/ProgressPersister.java
+++ b/src/main/java/org/mulleinshift/progress/ProgressPersister.java
@@ -50,6 +50,7 @@
   private final ProgressLogWriter logWriter;
   private final ChunkKeyWriter keyWriter;
   private final ProgressLoader loader;
+  private final PendingEnds pendingEnds;
   private final boolean logEnabled;
   private boolean useLog;
 
@@ -79,6 +80,7 @@
     int slots = Math.max(1, Math.min(maxOps / 2, LOG_BYTES_PER_TRANSACTION / valueBytes));
     this.logWriter = new ProgressLogWriter(loop, batcher, log, slots, new LogListener());
     this.keyWriter = new ChunkKeyWriter(batcher, log, valueBytes, maxOps, new KeyListener());
+    this.pendingEnds = new PendingEnds(loop, batcher.term());
     this.loader = new ProgressLoader(jobs, shards, unreadable, batcher, log, keyWriter::deleteKey);
   }
 
@@ -104,6 +106,7 @@
     if (!logEnabled) {
       migrateFromLog();
     }
+    pendingEnds.logDelay();
   }
 
   /** The way back to an earlier build, which does not read the log. */
@@ -202,6 +205,7 @@
     batcher.submit(
         StoreKeys.endedJob(job.spec().id()),
         new JobEndMutation(loop, batcher, unreadable, log, keyWriter, listener, job));
+    pendingEnds.add(job);
     job.beginEnding();
   }
 
--- a/src/main/java/org/mulleinshift/store/PendingMutations.java
+++ b/src/main/java/org/mulleinshift/store/PendingMutations.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import org.mulleinshift.protocol.StoreCodec.Write;
 import org.mulleinshift.transport.EventLoop;
 import org.mulleinshift.transport.MonotonicTime;
@@ -36,6 +37,13 @@
       List<Write> writes,
       KeyValueStore.Urgency urgency) {
 
+    /** How many writes it has to keys of each kind. */
+    Map<String, Integer> writesByKind() {
+      Map<String, Integer> counts = new TreeMap<>();
+      writes.forEach(write -> counts.merge(StoreKeys.kindOf(write.key()), 1, Integer::sum));
+      return counts;
+    }
+
     /** The keys that it writes, each once. */
     Set<String> keys() {
       Set<String> keys = new LinkedHashSet<>();
--- a/src/main/java/org/mulleinshift/store/StoreKeys.java
+++ b/src/main/java/org/mulleinshift/store/StoreKeys.java
@@ -42,6 +42,12 @@
 
   private StoreKeys() {}
 
+  /** The prefix that tells the kind of a key: {@code t/} or {@code c/g/}. */
+  static String kindOf(String key) {
+    int searchFrom = key.startsWith(CONTROL) ? CONTROL.length() : 0;
+    return key.substring(0, key.indexOf('/', searchFrom) + 1);
+  }
+
   /** The key of a controller's session lease. */
   public static String node(NodeId node) {
     return NODES + node;
--- a/src/main/java/org/mulleinshift/store/TransactionBatcher.java
+++ b/src/main/java/org/mulleinshift/store/TransactionBatcher.java
@@ -88,6 +88,7 @@
   private final Set<String> loggedRejections = new HashSet<>();
   private State state = State.IDLE;
   private boolean flushPlanned;
+  private int unconfirmedInARow;
   private MonotonicTime sentAt;
 
   /**
@@ -137,6 +138,11 @@
         });
   }
 
+  /** The term that the transactions belong to. */
+  public Revision term() {
+    return term;
+  }
+
   /** Records the revision at which a key was last seen; the next write of the key demands it. */
   public void recordRevision(String key, Revision revision) {
     revisions.put(key, revision);
@@ -255,6 +261,7 @@
       }
     }
     transitionTo(State.IDLE);
+    unconfirmedInARow = 0;
     mutations.onCommitted(batch);
     batch.mutations().values().forEach(mutation -> mutation.onCommitted(revision));
     planFlush(Duration.ZERO);
@@ -287,10 +294,13 @@
    */
   private void onUncertain(PendingMutations.Batch batch, KeyValueStore.CommitResult result) {
     mutations.restore(batch);
+    unconfirmedInARow++;
     LOG.info(
-        "transaction not confirmed, result={} writes={}",
+        "transaction not confirmed, term={} result={} writes={} in_a_row={}",
+        term,
         result.getClass().getSimpleName(),
-        batch.writes().size());
+        batch.writesByKind(),
+        unconfirmedInARow);
     transitionTo(State.REREADING);
     List<String> keys = new ArrayList<>();
     keys.add(StoreKeys.LEADER);
