A queued end of a job demands the revision that its cancellation has written

Callers saw: users of jobs that depend on a cancelled one got 503 for up to 81 s and were told of the cancellation after 71 to 86 s, under one leader. Cause: a leader that has queued the end of a job learns by its watch that the job's record was changed by a cancellation, but the queued end still demands the revision from before. Its transaction, with up to five other ends, must fail; the store counts the writes of a transaction that fails, so the leader loses twelve changes of its rate and reads all keys again. Ends pile up, more jobs are cancelled while theirs wait, and more transactions fail. Besides, a job that was cancelled while its end waited took its dependents along only once that end was stored: they waited for as long again. Mend: what shows a job's record, the watch or a re-read, goes one way; it passes the new revision to the end that waits, and cancels the dependents at once whatever state the job is in. The end is still stored only if its record is as the leader knows it, so which of done and cancelled holds is decided as before.

--- a/src/main/java/org/mulleinshift/leader/JobLifecycle.java
+++ b/src/main/java/org/mulleinshift/leader/JobLifecycle.java
@@ -58,12 +58,17 @@
     dependencies.admit(record);
   }
 
-  /** The stored record of a known job changed. */
-  void onRecordChanged(Job job, JobRecord record) {
+  /** The stored record of a known job was shown by the watch, or read again. */
+  @Override
+  public void onRecordRead(Job job, JobRecord record) {
+    if (record.revision().compareTo(job.revision()) <= 0) {
+      return;
+    }
     if (job.state() == Job.State.AWAITING_DEPENDENCIES) {
       dependencies.update(job, record);
     } else {
       job.update(record);
+      progress.onRecordChanged(job);
       settle(job);
     }
   }
@@ -164,8 +169,11 @@
 
   /** Ends the job if none of its tasks remains; stops its tasks if it was cancelled. */
   void settle(Job job) {
-    if (job.state() == Job.State.CANCELLING) {
+    if (job.cancelled()) {
+      // Also while its own end waits to be stored: its dependents' ends need not wait for that.
       dependencies.onCancelled(job.spec().id());
+    }
+    if (job.state() == Job.State.CANCELLING) {
       for (TaskAssignment assignment : job.assignments()) {
         if (!assignment.stopRequested()) {
           requestStop(assignment);
--- a/src/main/java/org/mulleinshift/leader/Leader.java
+++ b/src/main/java/org/mulleinshift/leader/Leader.java
@@ -241,8 +241,8 @@
     Optional<Job> known = jobs.findJob(record.id());
     if (known.isEmpty()) {
       jobs.admit(record);
-    } else if (record.revision().compareTo(known.get().revision()) > 0) {
-      jobs.onRecordChanged(known.get(), record);
+    } else {
+      jobs.onRecordRead(known.get(), record);
     }
     cycles.schedule();
   }
--- a/src/main/java/org/mulleinshift/progress/JobEndMutation.java
+++ b/src/main/java/org/mulleinshift/progress/JobEndMutation.java
@@ -71,7 +71,7 @@
   @Override
   public void onReread(String key, Optional<KeyValue> item) {
     if (key.equals(StoreKeys.activeJob(job.spec().id()))) {
-      item.flatMap(JobRecord::read).ifPresent(job::update);
+      item.flatMap(JobRecord::read).ifPresent(record -> listener.onRecordRead(job, record));
     }
   }
 
--- a/src/main/java/org/mulleinshift/progress/ProgressPersister.java
+++ b/src/main/java/org/mulleinshift/progress/ProgressPersister.java
@@ -199,9 +199,24 @@
     }
   }
 
+  /**
+   * The record of a job was changed, by a cancellation: an end that waits to be stored demands the
+   * new revision. With the old one its whole transaction would fail, and the store counts the
+   * writes of a transaction that fails.
+   */
+  public void onRecordChanged(Job job) {
+    if (job.state() == Job.State.ENDING) {
+      recordRevision(job);
+    }
+  }
+
+  private void recordRevision(Job job) {
+    batcher.recordRevision(StoreKeys.activeJob(job.spec().id()), job.revision());
+  }
+
   /** Has the end of a job stored, whose state allows it. */
   public void end(Job job) {
-    batcher.recordRevision(StoreKeys.activeJob(job.spec().id()), job.revision());
+    recordRevision(job);
     batcher.submit(
         StoreKeys.endedJob(job.spec().id()),
         new JobEndMutation(loop, batcher, unreadable, log, keyWriter, listener, job));
