An answer that a job waits rests on the stored ends of what it depends on

Cause: a controller knew of a cancelled dependency that had ended only if it had seen it go from its view of active jobs. Nothing stored was asked; a process that started later, and one that lost a page of its view, knew nothing of it and said waiting. Dependencies in lists of their own were not followed at all, and a repeated submission was answered from a view that was not confirmed. Mend: a job is called waiting or running only if each job that it depends on, through others too, is active and not cancelled in a view as fresh as the question, or its end is stored as done; a stored end that is not known is read once a node and never changes. Once one is stored as ended by its cancellation the answer is cancelled in place of 503, on all controllers of level 4 and later; nothing can make the job end otherwise. So the answer is the same from any process at any time.

--- /dev/null
+++ b/src/main/java/org/mulleinshift/api/DependencyCheck.java
@@ -0,0 +1,87 @@
+package org.mulleinshift.api;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.mulleinshift.model.JobRecord;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobPhase;
+
+/**
+ * Checks whether an active job still waits or runs, as far as the jobs that it depends on tell. The
+ * verdict rests on the view of active jobs and on stored ends alone, not on what this process saw
+ * happen: one that started a moment ago concludes the same.
+ */
+final class DependencyCheck {
+  private final KnownJobs knownJobs;
+
+  DependencyCheck(KnownJobs knownJobs) {
+    this.knownJobs = knownJobs;
+  }
+
+  /** The verdict by what is known now; it is as fresh as the view of active jobs. */
+  DependencyVerdict verdict(JobRecord job) {
+    return new Search().from(job);
+  }
+
+  /** A search along the dependencies that are not over. */
+  private final class Search {
+    private final Set<JobId> visited = new HashSet<>();
+    private final Deque<JobRecord> unvisited = new ArrayDeque<>();
+    private final Set<JobId> unreadEnds = new LinkedHashSet<>();
+    private final List<JobRecord> unreadLists = new ArrayList<>();
+    private boolean anyCancelling;
+    private boolean anyCancelled;
+
+    DependencyVerdict from(JobRecord job) {
+      unvisited.add(job);
+      while (!unvisited.isEmpty() && !anyCancelled) {
+        visit(unvisited.poll());
+      }
+      if (anyCancelled) {
+        return new DependencyVerdict.Cancelled();
+      }
+      if (anyCancelling) {
+        return new DependencyVerdict.Cancelling();
+      }
+      return unreadEnds.isEmpty() && unreadLists.isEmpty()
+          ? new DependencyVerdict.NoneCancelled()
+          : new DependencyVerdict.Unproven(unreadEnds, unreadLists);
+    }
+
+    private void visit(JobRecord job) {
+      if (knownJobs.hasHadTasks(job.id())) {
+        // It was released: all that it depends on is stored as done, which never changes.
+        return;
+      }
+      Optional<List<JobId>> dependencies = knownJobs.dependenciesOf(job);
+      if (dependencies.isPresent()) {
+        dependencies.get().stream().filter(visited::add).forEach(this::check);
+      } else {
+        unreadLists.add(job);
+      }
+    }
+
+    private void check(JobId dependency) {
+      Optional<JobPhase> terminal = knownJobs.cachedTerminalPhase(dependency);
+      Optional<JobStatus> active = knownJobs.findActive(dependency);
+      if (terminal.filter(JobPhase.DONE::equals).isPresent()) {
+        return;
+      }
+      if (active.isEmpty()) {
+        anyCancelled |= terminal.isPresent();
+        if (terminal.isEmpty()) {
+          unreadEnds.add(dependency);
+        }
+      } else if (active.get() instanceof JobStatus.Active found) {
+        anyCancelling |= terminal.isPresent() || found.job().cancelled();
+        unvisited.add(found.job());
+      }
+    }
+  }
+}
--- a/src/main/java/org/mulleinshift/api/JobApi.java
+++ b/src/main/java/org/mulleinshift/api/JobApi.java
@@ -1,6 +1,7 @@
 package org.mulleinshift.api;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.mulleinshift.memory.MemoryPressure;
 import org.mulleinshift.model.JobRecord;
@@ -33,6 +34,8 @@
    * @param currentViewCheck confirms the view of active jobs that {@link #onActive} builds
    * @param memoryPressure how scarce the heap is: under pressure fewer requests are served
    * @param notice makes cancellations known before they are acknowledged
+   * @param allProveDependencies whether every controller proves by the store that no dependency of
+   *     a job was cancelled before it calls the job waiting
    */
   public record Context(
       EventLoop loop,
@@ -42,7 +45,8 @@
       int retryAfterSeconds,
       CurrentViewCheck currentViewCheck,
       Supplier<MemoryPressure> memoryPressure,
-      CancellationNotice notice) {}
+      CancellationNotice notice,
+      BooleanSupplier allProveDependencies) {}
 
   private final KnownJobs knownJobs = new KnownJobs();
   private final JobStatusReader statusReader;
@@ -53,9 +57,20 @@
   /** An interface that knows no job yet. */
   public JobApi(Context context) {
     KeyValueStore store = context.store();
+    DependencyCheck dependencyCheck = new DependencyCheck(knownJobs);
     this.statusReader =
-        new JobStatusReader(store, knownJobs, context.currentViewCheck(), context.memoryPressure());
-    this.responses = new JobResponseWriter(knownJobs, context.retryAfterSeconds());
+        new JobStatusReader(
+            store,
+            knownJobs,
+            new DependencyReader(store, knownJobs, dependencyCheck),
+            context.currentViewCheck(),
+            context.memoryPressure());
+    this.responses =
+        new JobResponseWriter(
+            knownJobs,
+            dependencyCheck,
+            context.allProveDependencies(),
+            context.retryAfterSeconds());
     this.submissions = new SubmissionHandler(context, knownJobs, statusReader, responses);
     this.cancellations =
         new CancellationHandler(store, knownJobs, statusReader, responses, context.notice());
@@ -63,7 +78,7 @@
 
   /** The leader's latest task counts: it names the jobs with running or completed tasks. */
   public void onSummary(JobSummary summary) {
-    responses.onSummary(summary);
+    knownJobs.onSummary(summary);
   }
 
   /** An active job as the view shows it; without a record, one that this build can't read. */
--- a/src/main/java/org/mulleinshift/api/JobResponseWriter.java
+++ b/src/main/java/org/mulleinshift/api/JobResponseWriter.java
@@ -1,13 +1,11 @@
 package org.mulleinshift.api;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.BooleanSupplier;
 import org.mulleinshift.protocol.JobCodec;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.JobPhase;
-import org.mulleinshift.protocol.peer.JobSummary;
 import org.mulleinshift.protocol.peer.JobTaskCounts;
 import org.mulleinshift.transport.HttpStatus;
 import org.mulleinshift.transport.Responder;
@@ -20,28 +18,29 @@
  */
 final class JobResponseWriter {
   private static final Logger LOG = LoggerFactory.getLogger(JobResponseWriter.class);
-  private static final JobTaskCounts NO_TASKS = new JobTaskCounts("", 0, 0);
 
   private final KnownJobs knownJobs;
+  private final DependencyCheck dependencyCheck;
+  private final BooleanSupplier allProveDependencies;
   private final int retryAfterSeconds;
-  private Map<String, JobTaskCounts> taskCounts = Map.of();
 
-  /** The counts of a job that no summary names; none before the first summary. */
-  private Optional<JobTaskCounts> defaultCounts = Optional.empty();
-
-  JobResponseWriter(KnownJobs knownJobs, int retryAfterSeconds) {
+  /**
+   * A writer.
+   *
+   * @param allProveDependencies whether every controller tells by the store alone that a dependency
+   *     was cancelled; one that does not may call a job waiting that this node calls cancelled
+   */
+  JobResponseWriter(
+      KnownJobs knownJobs,
+      DependencyCheck dependencyCheck,
+      BooleanSupplier allProveDependencies,
+      int retryAfterSeconds) {
     this.knownJobs = knownJobs;
+    this.dependencyCheck = dependencyCheck;
+    this.allProveDependencies = allProveDependencies;
     this.retryAfterSeconds = retryAfterSeconds;
   }
 
-  /** A summary names the jobs with running or completed tasks; all others have none. */
-  void onSummary(JobSummary summary) {
-    Map<String, JobTaskCounts> next = new LinkedHashMap<>();
-    summary.getCounts().forEach(count -> next.put(count.getJob(), count));
-    taskCounts = next;
-    defaultCounts = Optional.of(NO_TASKS);
-  }
-
   /** Responds with the newer of what was read and what is known now; 404 if never accepted. */
   void respondWithStatusOrNotFound(JobId id, JobStatus read, Responder responder) {
     if (knownJobs.newerOf(id, read) instanceof JobStatus.NeverAccepted) {
@@ -65,24 +64,41 @@
 
   private void respondWithActive(JobId id, JobStatus.Active active, Responder responder) {
     if (active.job().cancelled()) {
-      knownJobs.cacheTerminalPhase(id, JobPhase.CANCELLED);
-      respondWithPhase(id, HttpStatus.OK, JobPhase.CANCELLED, responder);
-    } else if (knownJobs.isCancelledWithDependency(id)) {
-      respondUnavailable(responder);
+      respondWithCancelled(id, responder);
+      return;
+    }
+    // Where a job is called waiting, each job that it depends on is proved to be no cancelled one.
+    DependencyVerdict verdict = dependencyCheck.verdict(active.job());
+    if (verdict instanceof DependencyVerdict.NoneCancelled) {
+      respondWithPhase(id, HttpStatus.OK, activePhase(id), responder);
+    } else if (verdict instanceof DependencyVerdict.Cancelled
+        && allProveDependencies.getAsBoolean()) {
+      respondWithCancelled(id, responder);
     } else {
-      JobTaskCounts counts = taskCounts.get(id.value());
-      boolean running = counts != null && counts.getRunning() > 0;
-      JobPhase phase = running ? JobPhase.RUNNING : JobPhase.PENDING;
-      respondWithPhase(id, HttpStatus.OK, phase, responder);
+      LOG.debug(
+          "job not answered, job={} verdict={} view_revision={}",
+          id,
+          verdict,
+          knownJobs.viewRevision());
+      respondUnavailable(responder);
     }
   }
 
+  private void respondWithCancelled(JobId id, Responder responder) {
+    knownJobs.cacheTerminalPhase(id, JobPhase.CANCELLED);
+    respondWithPhase(id, HttpStatus.OK, JobPhase.CANCELLED, responder);
+  }
+
+  private JobPhase activePhase(JobId id) {
+    boolean running =
+        knownJobs.taskCounts(id).filter(counts -> counts.getRunning() > 0).isPresent();
+    return running ? JobPhase.RUNNING : JobPhase.PENDING;
+  }
+
   /** Responds with a phase, and with the task counts of a job that has not ended. */
   void respondWithPhase(JobId id, int httpStatus, JobPhase phase, Responder responder) {
     Optional<JobTaskCounts> counts =
-        phase.isTerminal()
-            ? Optional.empty()
-            : Optional.ofNullable(taskCounts.get(id.value())).or(() -> defaultCounts);
+        phase.isTerminal() ? Optional.empty() : knownJobs.taskCounts(id);
     LOG.debug(
         "job answered, job={} phase={} view_revision={} counts={}",
         id,
--- a/src/main/java/org/mulleinshift/api/JobStatusReader.java
+++ b/src/main/java/org/mulleinshift/api/JobStatusReader.java
@@ -23,6 +23,7 @@
 
   private final KeyValueStore store;
   private final KnownJobs knownJobs;
+  private final DependencyReader dependencyReader;
   private final CurrentViewCheck viewCheck;
   private final Supplier<MemoryPressure> memoryPressure;
   private int pendingReads;
@@ -30,10 +31,12 @@
   JobStatusReader(
       KeyValueStore store,
       KnownJobs knownJobs,
+      DependencyReader dependencyReader,
       CurrentViewCheck viewCheck,
       Supplier<MemoryPressure> memoryPressure) {
     this.store = store;
     this.knownJobs = knownJobs;
+    this.dependencyReader = dependencyReader;
     this.viewCheck = viewCheck;
     this.memoryPressure = memoryPressure;
   }
@@ -60,10 +63,21 @@
             unconfirmed.run();
             return;
           }
-          knownJobs.findActive(id).ifPresentOrElse(result, () -> readEnded(id, result));
+          knownJobs
+              .findActive(id)
+              .ifPresentOrElse(
+                  status -> proveDependencies(status, result), () -> readEnded(id, result));
         });
   }
 
+  private void proveDependencies(JobStatus status, Consumer<JobStatus> result) {
+    if (status instanceof JobStatus.Active active) {
+      dependencyReader.readMissing(active.job(), () -> result.accept(status));
+    } else {
+      result.accept(status);
+    }
+  }
+
   /** How many reads may wait for a confirmation at a time. */
   private int maxPendingReads() {
     return switch (memoryPressure.get()) {
@@ -73,6 +87,29 @@
     };
   }
 
+  /**
+   * Reads the status from the store, and of an active job also what proves that it still waits or
+   * runs: an answer that it does needs a view as fresh as the question.
+   */
+  void readStoredWithDependencies(JobId id, Consumer<JobStatus> result) {
+    readStored(
+        id,
+        status -> {
+          if (status instanceof JobStatus.Active active && !active.job().dependencies().isEmpty()) {
+            viewCheck.confirmCurrent(
+                confirmed -> {
+                  if (confirmed) {
+                    proveDependencies(status, result);
+                  } else {
+                    result.accept(new JobStatus.Unknown());
+                  }
+                });
+          } else {
+            result.accept(status);
+          }
+        });
+  }
+
   /**
    * Reads the status from the store, unless the job is known to have ended. A job only ever moves
    * from active to ended, so this order of reading cannot miss it.
--- a/src/main/java/org/mulleinshift/api/SubmissionHandler.java
+++ b/src/main/java/org/mulleinshift/api/SubmissionHandler.java
@@ -128,7 +128,7 @@
       responses.respondRejected(httpStatus, reason, responder);
       return;
     }
-    statusReader.readStored(
+    statusReader.readStoredWithDependencies(
         id.get(),
         status -> {
           if (knownJobs.newerOf(id.get(), status) instanceof JobStatus.NeverAccepted) {
@@ -224,6 +224,7 @@
   }
 
   private void respondWithStored(JobId id, Responder responder) {
-    statusReader.readStored(id, status -> responses.respondWithStatus(id, status, responder));
+    statusReader.readStoredWithDependencies(
+        id, status -> responses.respondWithStatus(id, status, responder));
   }
 }
--- a/src/main/java/org/mulleinshift/compatibility/FeatureGates.java
+++ b/src/main/java/org/mulleinshift/compatibility/FeatureGates.java
@@ -34,7 +34,10 @@
   /** From this level on controllers announce cancellations to each other. */
   public static final int CANCELLATION_NOTICES = 3;
 
-  private static final int OWN_LEVEL = CANCELLATION_NOTICES;
+  /** From this level on no controller calls a job waiting whose dependency ended as cancelled. */
+  public static final int DEPENDENCY_PROOFS = 4;
+
+  private static final int OWN_LEVEL = DEPENDENCY_PROOFS;
 
   private final EventLoop loop;
   private final KeyValueStore store;
--- a/src/main/java/org/mulleinshift/controller/ControllerComponents.java
+++ b/src/main/java/org/mulleinshift/controller/ControllerComponents.java
@@ -324,7 +324,8 @@
             tunables.count(Tunables.Key.RETRY_AFTER_S),
             activeJobs::confirmCurrent,
             ports.heapMonitor()::pressure,
-            cancellations));
+            cancellations,
+            () -> featureGates.allSupport(FeatureGates.DEPENDENCY_PROOFS)));
   }
 
   private ControllerReadiness createReadiness() {
--- /dev/null
+++ b/src/test/java/org/mulleinshift/api/JobApiFixture.java
@@ -0,0 +1,199 @@
+package org.mulleinshift.api;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.mulleinshift.membership.VirtualEventLoop;
+import org.mulleinshift.memory.MemoryPressure;
+import org.mulleinshift.model.JobDependencies;
+import org.mulleinshift.model.JobRecord;
+import org.mulleinshift.placement.MachineTypeCatalog;
+import org.mulleinshift.protocol.JobCodec;
+import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.JobPhase;
+import org.mulleinshift.protocol.JobSpec;
+import org.mulleinshift.protocol.JobSpecSamples;
+import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.settings.PlatformSettings;
+import org.mulleinshift.store.KeyValueStore;
+import org.mulleinshift.store.StoreKeys;
+import org.mulleinshift.transport.AsyncHttpClient;
+import org.mulleinshift.transport.HttpRequest;
+import org.mulleinshift.transport.HttpResponse;
+import org.mulleinshift.transport.Responder;
+
+/** An interface for users over a store whose keys and refusals a test sets. */
+abstract class JobApiFixture {
+  private static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("host", 1);
+  private static final int RETRY_AFTER_SECONDS = 7;
+  static final JobId JOB = new JobId("run-1");
+  static final JobSpec SPEC = JobSpecSamples.withoutOptionalFields(JOB, 16);
+  private static final String CATALOG =
+      "{\"builds\":[{\"label\":\"small\",\"cpus\":8,\"cards\":0,\"ram_gb\":64,\"local_gb\":100,"
+          + "\"pull_gb_per_s\":1,\"rate\":1,\"market_price\":0.4,\"startup_s\":8,"
+          + "\"yards\":[\"a\"]}]}";
+  static final Answer TRY_AGAIN =
+      new Answer(503, "{\"error\":\"try again\"}", Optional.of(RETRY_AFTER_SECONDS));
+  static final Answer NOT_FOUND = answer(404, "{\"error\":\"no such job\"}");
+
+  /** What a user gets. */
+  record Answer(int status, String body, Optional<Integer> retryAfterSeconds) {}
+
+  static Answer answer(int status, String body) {
+    return new Answer(status, body, Optional.empty());
+  }
+
+  static Answer phase(int status, String phase) {
+    return answer(status, "{\"ref\":\"run-1\",\"phase\":\"" + phase + "\"}");
+  }
+
+  /** Keeps the only answer to a request. */
+  private static final class AnswerRecorder implements Responder {
+    private Optional<Answer> answer = Optional.empty();
+
+    @Override
+    public void respond(int status, String body) {
+      record(new Answer(status, body, Optional.empty()));
+    }
+
+    @Override
+    public void respondLater(int status, String body, int retryAfterSeconds) {
+      record(new Answer(status, body, Optional.of(retryAfterSeconds)));
+    }
+
+    private void record(Answer next) {
+      assertEquals(Optional.empty(), answer, "an earlier answer");
+      answer = Optional.of(next);
+    }
+  }
+
+  /** A store whose keys and refusals the test sets. */
+  final class StoreStub implements AsyncHttpClient {
+    private final Map<String, String> items = new HashMap<>();
+    int readStatus = 200;
+    int commitStatus = 200;
+
+    void put(String key, String value) {
+      items.put(
+          "/keys/" + key, "{\"k\":\"" + key + "\",\"value\":" + value + ",\"stamp\":" + 5 + "}");
+    }
+
+    @Override
+    public void call(
+        InetSocketAddress target, HttpRequest request, Consumer<HttpResponse> onResponse) {
+      loop.post(() -> onResponse.accept(respond(request)));
+    }
+
+    private HttpResponse respond(HttpRequest request) {
+      if (request.method().equals("POST")) {
+        return new HttpResponse(commitStatus, "{\"epoch\":6}");
+      }
+      if (readStatus != 200) {
+        return new HttpResponse(readStatus, "{}");
+      }
+      String item = items.get(request.path());
+      return item == null ? new HttpResponse(404, "{\"epoch\":6}") : new HttpResponse(200, item);
+    }
+  }
+
+  private final VirtualEventLoop loop = new VirtualEventLoop();
+  final StoreStub store = new StoreStub();
+  int catalogStatus = 200;
+  final MachineTypeCatalog catalog =
+      new MachineTypeCatalog(
+          loop,
+          (target, request, onResponse) ->
+              onResponse.accept(new HttpResponse(catalogStatus, CATALOG)),
+          ADDRESS,
+          () -> {});
+  boolean viewCurrent = true;
+  boolean allProveDependencies = true;
+  MemoryPressure memoryPressure = MemoryPressure.NORMAL;
+  JobApi api;
+
+  @BeforeEach
+  void createApi() {
+    PlatformSettings.Cluster cluster =
+        new PlatformSettings.Cluster(
+            1,
+            List.of("a"),
+            Duration.ZERO,
+            List.of(
+                new PlatformSettings.Team("vision", 0, 100, 0, 0),
+                new PlatformSettings.Team("small", 0, 1, 0, 0)),
+            List.of(),
+            new PlatformSettings.WorkerTiming(Duration.ZERO, Duration.ZERO, Duration.ZERO),
+            new PlatformSettings.StoreLimits(1000, 1000, 8192, 12),
+            new PlatformSettings.CloudLimits(1, Duration.ZERO));
+    KeyValueStore keyValueStore =
+        new KeyValueStore(loop, store, store, ADDRESS, new KeyValueStore.Rates(1000, 1000, 1, 1));
+    api =
+        new JobApi(
+            new JobApi.Context(
+                loop,
+                keyValueStore,
+                catalog,
+                cluster,
+                RETRY_AFTER_SECONDS,
+                result -> result.accept(viewCurrent),
+                () -> memoryPressure,
+                (job, result) -> result.accept(true),
+                () -> allProveDependencies));
+  }
+
+  Answer answerTo(Consumer<Responder> request) {
+    AnswerRecorder recorder = new AnswerRecorder();
+    request.accept(recorder);
+    loop.runFor(1);
+    return recorder.answer.orElseThrow();
+  }
+
+  Answer submit(String body) {
+    if (!catalog.isLoaded()) {
+      catalog.start();
+    }
+    return answerTo(responder -> api.submit(body, responder));
+  }
+
+  Answer submit() {
+    return submit(submission().toString());
+  }
+
+  Answer poll() {
+    return answerTo(responder -> api.poll(JOB, responder));
+  }
+
+  Answer cancel() {
+    return answerTo(responder -> api.cancel(JOB, responder));
+  }
+
+  static ObjectNode submission() {
+    return JobCodec.writeSubmission(SPEC);
+  }
+
+  void storeActive(boolean cancelled) {
+    store.put(
+        StoreKeys.activeJob(JOB),
+        JobRecord.value(SPEC, JobDependencies.NONE, 1, cancelled).toString());
+  }
+
+  void storeEnded(JobPhase phase) {
+    storeEnded(JOB, phase);
+  }
+
+  void storeEnded(JobId job, JobPhase phase) {
+    store.put(StoreKeys.endedJob(job), JobRecord.endedValue(phase, 1).toString());
+  }
+
+  void showActive() {
+    api.onActive(JOB, Optional.of(new JobRecord(SPEC, 1, false, new Revision(5))));
+  }
+}
