--- a/src/main/java/org/mulleinshift/dependencies/DependencyResolver.java
+++ b/src/main/java/org/mulleinshift/dependencies/DependencyResolver.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.mulleinshift.model.Job;
+import org.mulleinshift.model.JobTable;
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.JobPhase;
 import org.mulleinshift.protocol.Revision;
@@ -36,7 +37,8 @@
   private final DependencyGraph graph = new DependencyGraph();
   private final Map<JobId, Job> waitingJobs = new LinkedHashMap<>();
   private final Map<JobId, Long> lastEndMillis = new HashMap<>();
-  private final ActiveJobs activeJobs;
+  private final JobTable activeJobs;
+  private final DurationEstimates estimates;
   private final PriorityPropagation priorities;
   private final Listener listener;
   private final LongSupplier wallMillis;
@@ -47,14 +49,20 @@
    * A resolver without jobs.
    *
    * @param activeJobs the jobs that do not wait
+   * @param estimates how long jobs should take
    * @param listener is notified of released and cancelled jobs
    * @param wallMillis the wall clock in milliseconds
    * @param term the term, for the log
    */
   DependencyResolver(
-      ActiveJobs activeJobs, Listener listener, LongSupplier wallMillis, Revision term) {
+      JobTable activeJobs,
+      DurationEstimates estimates,
+      Listener listener,
+      LongSupplier wallMillis,
+      Revision term) {
     this.activeJobs = activeJobs;
-    this.priorities = new PriorityPropagation(graph, this::findUnfinished, activeJobs);
+    this.estimates = estimates;
+    this.priorities = new PriorityPropagation(graph, this::findUnfinished, estimates);
     this.listener = listener;
     this.wallMillis = wallMillis;
     this.term = term;
@@ -166,10 +174,10 @@
   private double secondsUntilDone(JobId dependency, Map<JobId, Double> releaseSeconds) {
     Job waiting = waitingJobs.get(dependency);
     if (waiting == null) {
-      return activeJobs.find(dependency).map(activeJobs::remainingSeconds).orElse(Double.MAX_VALUE);
+      return activeJobs.find(dependency).map(estimates::remainingSeconds).orElse(Double.MAX_VALUE);
     }
     double release = releaseSeconds.getOrDefault(dependency, Double.MAX_VALUE);
-    return activeJobs.secondsUntilDependentsRun(waiting, release);
+    return estimates.secondsUntilDependentsRun(waiting, release);
   }
 
   private List<Job> waitingDependenciesFirst() {
--- a/src/main/java/org/mulleinshift/dependencies/DependencyTracker.java
+++ b/src/main/java/org/mulleinshift/dependencies/DependencyTracker.java
@@ -71,7 +71,8 @@
     this.term = term;
     this.resolver =
         new DependencyResolver(
-            new ActiveJobs(loop, jobs, runTimes),
+            jobs,
+            new DurationEstimates(loop, runTimes),
             new ResolverListener(),
             loop::wallMillis,
             batcher.term());
--- a/src/main/java/org/mulleinshift/dependencies/ActiveJobs.java
+++ b/src/main/java/org/mulleinshift/dependencies/DurationEstimates.java
@@ -1,16 +1,13 @@
 package org.mulleinshift.dependencies;
 
-import java.util.Optional;
 import org.mulleinshift.model.Job;
-import org.mulleinshift.model.JobTable;
 import org.mulleinshift.model.TaskAssignment;
-import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.scheduling.RunTimeEstimator;
 import org.mulleinshift.transport.EventLoop;
 import org.mulleinshift.transport.MonotonicTime;
 
-/** The jobs of a term that do not wait for others, and how long jobs should take. */
-final class ActiveJobs {
+/** How long jobs should still take, and those that wait for them. */
+final class DurationEstimates {
   /** The last of a job's tasks takes longer than the mean. */
   private static final double SLOWEST_TASK_FACTOR = 1.3;
 
@@ -21,20 +18,13 @@
   private static final double RELEASE_DELAY_SECONDS = 5;
 
   private final EventLoop loop;
-  private final JobTable jobs;
   private final RunTimeEstimator runTimes;
 
-  ActiveJobs(EventLoop loop, JobTable jobs, RunTimeEstimator runTimes) {
+  DurationEstimates(EventLoop loop, RunTimeEstimator runTimes) {
     this.loop = loop;
-    this.jobs = jobs;
     this.runTimes = runTimes;
   }
 
-  /** The job, if it is active. */
-  Optional<Job> find(JobId job) {
-    return jobs.find(job);
-  }
-
   /**
    * Seconds until the dependents of a job can run.
    *
--- a/src/main/java/org/mulleinshift/dependencies/PriorityPropagation.java
+++ b/src/main/java/org/mulleinshift/dependencies/PriorityPropagation.java
@@ -17,7 +17,7 @@
 
   private final DependencyGraph graph;
   private final Function<JobId, Optional<Job>> findUnfinished;
-  private final ActiveJobs activeJobs;
+  private final DurationEstimates estimates;
 
   /** Jobs of the latest run that wait or are waited for. */
   private final Map<JobId, Job> visitedJobs = new HashMap<>();
@@ -28,10 +28,12 @@
    * @param findUnfinished finds jobs that are not over, waiting or not
    */
   PriorityPropagation(
-      DependencyGraph graph, Function<JobId, Optional<Job>> findUnfinished, ActiveJobs activeJobs) {
+      DependencyGraph graph,
+      Function<JobId, Optional<Job>> findUnfinished,
+      DurationEstimates estimates) {
     this.graph = graph;
     this.findUnfinished = findUnfinished;
-    this.activeJobs = activeJobs;
+    this.estimates = estimates;
   }
 
   /** Computes anew what each job inherits. */
@@ -62,7 +64,7 @@
   }
 
   private long dependencyDeadlineMillis(Job job) {
-    double pathSeconds = activeJobs.secondsUntilDependentsRun(job, 0);
+    double pathSeconds = estimates.secondsUntilDependentsRun(job, 0);
     return job.hasDeadline()
         ? job.deadlineMillis() - (long) (MILLIS_PER_SECOND * pathSeconds)
         : Job.Inherited.NONE.deadlineMillis();
