--- a/src/test/java/org/mulleinshift/simulation/StoreWatches.java
+++ b/src/test/java/org/mulleinshift/simulation/StoreWatches.java
@@ -21,6 +21,8 @@
       boolean waits,
       Consumer<HttpResponse> reply) {}
 
+  private static final HttpResponse GONE = new HttpResponse(HttpStatus.GONE, "{}");
+
   private final Timeline timeline;
   private final StoredKeys keys;
   private final StoreFaults faults;
@@ -37,7 +39,7 @@
     Map<String, String> query = QueryParameters.of(path);
     long from = Long.parseLong(query.get("from"));
     if (from < keys.compactedRevision()) {
-      reply.accept(new HttpResponse(HttpStatus.GONE, "{}"));
+      reply.accept(GONE);
       return;
     }
     double wait = Double.parseDouble(query.getOrDefault("hold_ms", "0")) / MILLIS_PER_SECOND;
@@ -50,12 +52,18 @@
   void answerReady() {
     List<Watch> ready = watches.stream().filter(this::isReady).toList();
     watches.removeAll(ready);
-    for (Watch watch : ready) {
-      ObjectNode node = json.createObjectNode();
-      node.put("epoch", keys.revision());
-      node.putArray("news").addAll(changesFor(watch));
-      watch.reply().accept(HttpResponse.bounded(HttpStatus.OK, node.toString()));
+    ready.forEach(watch -> watch.reply().accept(answer(watch)));
+  }
+
+  private HttpResponse answer(Watch watch) {
+    if (watch.from() < keys.compactedRevision()) {
+      // It was held back while the history was dropped.
+      return GONE;
     }
+    ObjectNode node = json.createObjectNode();
+    node.put("epoch", keys.revision());
+    node.putArray("news").addAll(changesFor(watch));
+    return HttpResponse.bounded(HttpStatus.OK, node.toString());
   }
 
   private boolean isReady(Watch watch) {
