A leader settles a job that it admits, which may be cancelled already

Callers saw: users of jobs that depend on a cancelled one got no answer for as long as the leader's term lasted, at every controller; the cancelled job's key stayed. Cause: the same class as the queued end's: the leader acts on a cancellation in one of the paths by which it learns of it. A changed record and the start of a term take dependents along and store the end; a job whose first record that this leader sees is the cancelled one was only put into its table. This comes where the watch has to read all active jobs again. Mend: what is admitted in an active term is settled as after a change.

--- a/src/main/java/org/mulleinshift/leader/JobLifecycle.java
+++ b/src/main/java/org/mulleinshift/leader/JobLifecycle.java
@@ -56,6 +56,10 @@
   /** Admits a job that is stored: it may run, or waits for others. */
   void admit(JobRecord record) {
     dependencies.admit(record);
+    if (term.isActive()) {
+      // It may be cancelled already: no later change of its record would say so again.
+      state.jobs().find(record.id()).ifPresent(this::settle);
+    }
   }
 
   /** The stored record of a known job was shown by the watch, or read again. */
