--- a/src/test/java/org/mulleinshift/api/JobApiFixture.java
+++ b/src/test/java/org/mulleinshift/api/JobApiFixture.java
@@ -28,12 +28,16 @@
 import org.mulleinshift.transport.AsyncHttpClient;
 import org.mulleinshift.transport.HttpRequest;
 import org.mulleinshift.transport.HttpResponse;
+import org.mulleinshift.transport.HttpStatus;
 import org.mulleinshift.transport.Responder;
 
 /** An interface for users over a store whose keys and refusals a test sets. */
 abstract class JobApiFixture {
   private static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("host", 1);
   private static final int RETRY_AFTER_SECONDS = 7;
+  private static final Revision REVISION = new Revision(5);
+  private static final int VALUE_BYTES = 8192;
+  private static final int OPERATIONS = 12;
   static final JobId JOB = new JobId("run-1");
   static final JobSpec SPEC = JobSpecSamples.withoutOptionalFields(JOB, 16);
   private static final String CATALOG =
@@ -78,12 +82,13 @@
   /** A store whose keys and refusals the test sets. */
   final class StoreStub implements AsyncHttpClient {
     private final Map<String, String> items = new HashMap<>();
-    int readStatus = 200;
-    int commitStatus = 200;
+    int readStatus = HttpStatus.OK;
+    int commitStatus = HttpStatus.OK;
 
     void put(String key, String value) {
       items.put(
-          "/keys/" + key, "{\"k\":\"" + key + "\",\"value\":" + value + ",\"stamp\":" + 5 + "}");
+          "/keys/" + key,
+          "{\"k\":\"" + key + "\",\"value\":" + value + ",\"stamp\":" + REVISION.value() + "}");
     }
 
     @Override
@@ -96,17 +101,19 @@
       if (request.method().equals("POST")) {
         return new HttpResponse(commitStatus, "{\"epoch\":6}");
       }
-      if (readStatus != 200) {
+      if (readStatus != HttpStatus.OK) {
         return new HttpResponse(readStatus, "{}");
       }
       String item = items.get(request.path());
-      return item == null ? new HttpResponse(404, "{\"epoch\":6}") : new HttpResponse(200, item);
+      return item == null
+          ? new HttpResponse(HttpStatus.NOT_FOUND, "{\"epoch\":6}")
+          : new HttpResponse(HttpStatus.OK, item);
     }
   }
 
   private final VirtualEventLoop loop = new VirtualEventLoop();
   final StoreStub store = new StoreStub();
-  int catalogStatus = 200;
+  int catalogStatus = HttpStatus.OK;
   final MachineTypeCatalog catalog =
       new MachineTypeCatalog(
           loop,
@@ -131,7 +138,7 @@
                 new PlatformSettings.Team("small", 0, 1, 0, 0)),
             List.of(),
             new PlatformSettings.WorkerTiming(Duration.ZERO, Duration.ZERO, Duration.ZERO),
-            new PlatformSettings.StoreLimits(1000, 1000, 8192, 12),
+            new PlatformSettings.StoreLimits(1000, 1000, VALUE_BYTES, OPERATIONS),
             new PlatformSettings.CloudLimits(1, Duration.ZERO));
     KeyValueStore keyValueStore =
         new KeyValueStore(loop, store, store, ADDRESS, new KeyValueStore.Rates(1000, 1000, 1, 1));
@@ -194,6 +201,6 @@
   }
 
   void showActive() {
-    api.onActive(JOB, Optional.of(new JobRecord(SPEC, 1, false, new Revision(5))));
+    api.onActive(JOB, Optional.of(new JobRecord(SPEC, 1, false, REVISION)));
   }
 }
