Drawn scenarios: jobs cancelled as they end, faults between their ends and those of their dependents

All controllers end for a moment or longer than cancel_s, ends come late or lose their answers, the leader misses news.

--- a/src/test/java/org/mulleinshift/scenario/RandomScenario.java
+++ b/src/test/java/org/mulleinshift/scenario/RandomScenario.java
@@ -95,6 +95,16 @@
     return scenario.draw.lines();
   }
 
+  /**
+   * The lines of a scenario in which jobs are cancelled as they end, and faults come between their
+   * ends and those of the jobs that depend on them.
+   */
+  public static List<String> cancelledPairLines(long seed) {
+    RandomScenario scenario = new RandomScenario(seed);
+    scenario.drawCancelledPairs();
+    return scenario.draw.lines();
+  }
+
   private void drawOrdinary() {
     draw.addNodes();
     draw.add("state rps=100 writes=30");
@@ -167,6 +177,17 @@
     draw.add("run %.0f", LONG_END);
   }
 
+  private void drawCancelledPairs() {
+    draw.addNodes();
+    draw.add("state rps=80 writes=25 kb=8 ops=12");
+    draw.add("type small cpus=64 boot=5 a=4 b=4");
+    addTeams();
+    new DrawnCancelledPairs(draw).add();
+    draw.add("run %.0f", END);
+    draw.add("expect open run- max 0");
+    draw.add("expect keys a/ max 0");
+  }
+
   private void drawFurther() {
     draw.add("at 5 close-looks 160 %.2f", draw.number(CLOSE_LOOKS_RATE));
     draw.add("at 5 odd-requests 160");
--- a/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
@@ -71,7 +71,8 @@
         new Entry("drawn-chains", RandomScenario::chainedLines),
         new Entry("drawn-meetings", RandomScenario::pairedLines),
         new Entry("drawn-further-meetings", RandomScenario::furtherLines),
-        new Entry("drawn-progress-log", RandomScenario::loggedLines));
+        new Entry("drawn-progress-log", RandomScenario::loggedLines),
+        new Entry("drawn-cancelled-pairs", RandomScenario::cancelledPairLines));
   }
 
   /** All files and all drawn families. */
