--- a/src/main/java/org/mulleinshift/api/DependencyCheck.java
+++ b/src/main/java/org/mulleinshift/api/DependencyCheck.java
@@ -26,7 +26,9 @@
 
   /** The verdict by what is known now; it is as fresh as the view of active jobs. */
   DependencyVerdict verdict(JobRecord job) {
-    return new Search().from(job);
+    return job.dependencies().isEmpty()
+        ? new DependencyVerdict.NoneCancelled()
+        : new Search().from(job);
   }
 
   /** A search along the dependencies that are not over. */
--- a/src/main/java/org/mulleinshift/api/JobStatusReader.java
+++ b/src/main/java/org/mulleinshift/api/JobStatusReader.java
@@ -63,21 +63,24 @@
             unconfirmed.run();
             return;
           }
-          knownJobs
-              .findActive(id)
-              .ifPresentOrElse(
-                  status -> proveDependencies(status, result), () -> readEnded(id, result));
+          readInView(id, result);
         });
   }
 
-  private void proveDependencies(JobStatus status, Consumer<JobStatus> result) {
-    if (status instanceof JobStatus.Active active) {
-      dependencyReader.readMissing(active.job(), () -> result.accept(status));
+  /** The status by the view, which was confirmed; with what proves that the job still waits. */
+  private void readInView(JobId id, Consumer<JobStatus> result) {
+    if (knownJobs.findActive(id).orElse(null) instanceof JobStatus.Active active) {
+      // The job may end while its dependencies are read.
+      dependencyReader.readMissing(active.job(), () -> readStatusInView(id, result));
     } else {
-      result.accept(status);
+      readStatusInView(id, result);
     }
   }
 
+  private void readStatusInView(JobId id, Consumer<JobStatus> result) {
+    knownJobs.findActive(id).ifPresentOrElse(result, () -> readEnded(id, result));
+  }
+
   /** How many reads may wait for a confirmation at a time. */
   private int maxPendingReads() {
     return switch (memoryPressure.get()) {
@@ -99,7 +102,7 @@
             viewCheck.confirmCurrent(
                 confirmed -> {
                   if (confirmed) {
-                    proveDependencies(status, result);
+                    readInView(id, result);
                   } else {
                     result.accept(new JobStatus.Unknown());
                   }
--- a/src/test/java/org/mulleinshift/api/DependentJobAnswersTest.java
+++ b/src/test/java/org/mulleinshift/api/DependentJobAnswersTest.java
@@ -88,6 +88,15 @@
         JobDependencies.list(List.of(dependency)).toString());
   }
 
+  @Test
+  void aJobThatEndsWhileItsDependenciesAreReadIsCalledEnded() {
+    showActive(JOB, DEPENDENCY);
+    storeEnded(DEPENDENCY, JobPhase.DONE);
+    storeEnded(JobPhase.DONE);
+    store.onRead = () -> api.onNoLongerActive(JOB);
+    assertEquals(phase(200, "done"), poll());
+  }
+
   @Test
   void aJobThatHadTasksNeedsNoFurtherProof() {
     showActive(JOB, DEPENDENCY);
@@ -102,6 +111,7 @@
     JobDependencies dependencies = JobDependencies.of(List.of(DEPENDENCY));
     store.put(StoreKeys.activeJob(JOB), JobRecord.value(SPEC, dependencies, 1, false).toString());
     storeEnded(DEPENDENCY, JobPhase.DONE);
+    onConfirmation = () -> showActive(JOB, DEPENDENCY);
     viewCurrent = false;
     assertEquals(TRY_AGAIN, submit(), "view not confirmed");
     viewCurrent = true;
--- a/src/test/java/org/mulleinshift/api/JobApiFixture.java
+++ b/src/test/java/org/mulleinshift/api/JobApiFixture.java
@@ -84,6 +84,7 @@
     private final Map<String, String> items = new HashMap<>();
     int readStatus = HttpStatus.OK;
     int commitStatus = HttpStatus.OK;
+    Runnable onRead = () -> {};
 
     void put(String key, String value) {
       items.put(
@@ -101,6 +102,7 @@
       if (request.method().equals("POST")) {
         return new HttpResponse(commitStatus, "{\"epoch\":6}");
       }
+      onRead.run();
       if (readStatus != HttpStatus.OK) {
         return new HttpResponse(readStatus, "{}");
       }
@@ -122,6 +124,10 @@
           ADDRESS,
           () -> {});
   boolean viewCurrent = true;
+
+  /** What the view is shown before it is confirmed. */
+  Runnable onConfirmation = () -> {};
+
   boolean allProveDependencies = true;
   MemoryPressure memoryPressure = MemoryPressure.NORMAL;
   JobApi api;
@@ -150,12 +156,19 @@
                 catalog,
                 cluster,
                 RETRY_AFTER_SECONDS,
-                result -> result.accept(viewCurrent),
+                this::confirmCurrent,
                 () -> memoryPressure,
                 (job, result) -> result.accept(true),
                 () -> allProveDependencies));
   }
 
+  private void confirmCurrent(Consumer<Boolean> result) {
+    if (viewCurrent) {
+      onConfirmation.run();
+    }
+    result.accept(viewCurrent);
+  }
+
   Answer answerTo(Consumer<Responder> request) {
     AnswerRecorder recorder = new AnswerRecorder();
     request.accept(recorder);
