Ends of many dependencies are read between the questions of a job's user

Found while the change was tried on a job that waits for hundreds: callers of a controller that had just started got 503 for 86 s, since each question began the reads anew and gave up at the first refusal by the rate. The reads of a job are shared by its questions, go on after a second, when the answer is 503, leave the larger part of the rate to others where they are many, and are repeated for some seconds where the rate or the store refuses them.

--- a/src/main/java/org/mulleinshift/api/DependencyReader.java
+++ b/src/main/java/org/mulleinshift/api/DependencyReader.java
@@ -1,5 +1,6 @@
 package org.mulleinshift.api;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -17,11 +18,13 @@
 import org.mulleinshift.store.KeyValueStore;
 import org.mulleinshift.store.KeyValueStore.ReadResult;
 import org.mulleinshift.store.StoreKeys;
+import org.mulleinshift.transport.EventLoop;
 
 /**
  * Reads from the store what {@link DependencyCheck} lacks for a verdict. What is read never changes
  * and is kept, so that each of a job's dependencies costs a node one read; callers that lack the
- * same share it.
+ * same share it. Where there is much to read it goes on after the callers were answered, so that
+ * their next question finds it.
  */
 final class DependencyReader {
   private static final int MAX_CONCURRENT_READS = 8;
@@ -29,53 +32,122 @@
   /** Each round of reads may show further jobs whose lists have to be read. */
   private static final int MAX_ROUNDS = 16;
 
+  /** Shorter than clients wait for an answer. */
+  private static final Duration MAX_WAIT = Duration.ofSeconds(1);
+
+  private static final Duration RETRY_DELAY = Duration.ofMillis(250);
+
+  /** A key that can't be read for some seconds is left to the next question. */
+  private static final int MAX_RETRIES = 20;
+
+  private final EventLoop loop;
   private final KeyValueStore store;
   private final KnownJobs knownJobs;
   private final DependencyCheck check;
+  private final Map<JobId, Reading> readings = new HashMap<>();
   private final Map<JobId, List<Consumer<Boolean>>> endReads = new HashMap<>();
   private final Map<JobId, List<Consumer<Boolean>>> listReads = new HashMap<>();
 
-  DependencyReader(KeyValueStore store, KnownJobs knownJobs, DependencyCheck check) {
+  DependencyReader(
+      EventLoop loop, KeyValueStore store, KnownJobs knownJobs, DependencyCheck check) {
+    this.loop = loop;
     this.store = store;
     this.knownJobs = knownJobs;
     this.check = check;
   }
 
-  /** Reads what is missing for a verdict on the job, as far as the store answers. */
+  /**
+   * Reads what is missing for a verdict on the job.
+   *
+   * @param onFinished runs once all was read, a read has failed, or it takes too long
+   */
   void readMissing(JobRecord job, Runnable onFinished) {
-    new Reading(job, onFinished).startRound();
+    if (!(check.verdict(job) instanceof DependencyVerdict.Unproven)) {
+      onFinished.run();
+      return;
+    }
+    Reading running = readings.get(job.id());
+    Reading reading = running == null ? new Reading(job) : running;
+    Caller caller = new Caller(onFinished);
+    reading.callers.add(caller);
+    loop.after(MAX_WAIT, caller::finish);
+    if (running == null) {
+      readings.put(job.id(), reading);
+      reading.startRound();
+    }
+  }
+
+  /** Is told once, of whichever comes first. */
+  private static final class Caller {
+    private final Runnable onFinished;
+    private boolean finished;
+
+    Caller(Runnable onFinished) {
+      this.onFinished = onFinished;
+    }
+
+    void finish() {
+      if (!finished) {
+        finished = true;
+        onFinished.run();
+      }
+    }
   }
 
-  /** The reads for one verdict. */
+  /** The reads for one job's verdict. */
   private final class Reading {
     private final JobRecord job;
-    private final Runnable onFinished;
-    private final Deque<Consumer<Consumer<Boolean>>> unread = new ArrayDeque<>();
+    private final List<Caller> callers = new ArrayList<>();
+    private final Deque<JobId> unreadEnds = new ArrayDeque<>();
+    private final Deque<JobRecord> unreadLists = new ArrayDeque<>();
+    private KeyValueStore.Urgency urgency = KeyValueStore.Urgency.NORMAL;
     private int remainingRounds = MAX_ROUNDS;
     private int readsInFlight;
     private boolean failed;
 
-    Reading(JobRecord job, Runnable onFinished) {
+    Reading(JobRecord job) {
       this.job = job;
-      this.onFinished = onFinished;
     }
 
     void startRound() {
-      if (!(check.verdict(job) instanceof DependencyVerdict.Unproven missing)
-          || remainingRounds == 0) {
-        onFinished.run();
+      boolean stillActive = knownJobs.findActive(job.id()).isPresent();
+      if (failed
+          || !stillActive
+          || remainingRounds == 0
+          || !(check.verdict(job) instanceof DependencyVerdict.Unproven missing)) {
+        finish();
         return;
       }
       remainingRounds--;
-      missing.ends().forEach(ended -> unread.add(result -> readEnd(ended, result)));
-      missing.lists().forEach(waiting -> unread.add(result -> readLists(waiting, result)));
+      // Many reads leave the larger part of the rate to what clients wait for.
+      urgency =
+          missing.ends().size() > MAX_CONCURRENT_READS
+              ? KeyValueStore.Urgency.LOW
+              : KeyValueStore.Urgency.NORMAL;
+      unreadEnds.addAll(missing.ends());
+      unreadLists.addAll(missing.lists());
       startReads();
     }
 
+    private void finish() {
+      readings.remove(job.id());
+      callers.forEach(Caller::finish);
+    }
+
     private void startReads() {
-      while (readsInFlight < MAX_CONCURRENT_READS && !unread.isEmpty()) {
+      while (readsInFlight < MAX_CONCURRENT_READS && !unreadLists.isEmpty()) {
         readsInFlight++;
-        unread.poll().accept(this::onRead);
+        readLists(unreadLists.poll(), urgency, this::onRead);
+      }
+      while (readsInFlight < MAX_CONCURRENT_READS && !unreadEnds.isEmpty()) {
+        JobId ended = unreadEnds.poll();
+        if (knownJobs.cachedTerminalPhase(ended).isEmpty()) {
+          readsInFlight++;
+          readEnd(ended, urgency, this::onRead);
+        }
+      }
+      if (readsInFlight == 0) {
+        startRound();
       }
     }
 
@@ -83,55 +155,49 @@
       readsInFlight--;
       if (!known) {
         failed = true;
-        unread.clear();
+        unreadEnds.clear();
+        unreadLists.clear();
       }
       startReads();
-      if (readsInFlight > 0) {
-        return;
-      }
-      if (failed) {
-        onFinished.run();
-      } else {
-        startRound();
-      }
     }
   }
 
-  private void readEnd(JobId ended, Consumer<Boolean> result) {
+  private void readEnd(JobId ended, KeyValueStore.Urgency urgency, Consumer<Boolean> result) {
     if (!isFirst(endReads, ended, result)) {
       return;
     }
-    store.get(
+    read(
         StoreKeys.endedJob(ended),
-        KeyValueStore.Urgency.NORMAL,
-        answer -> {
-          Optional<JobPhase> phase = found(answer).flatMap(JobRecord::endedPhase);
+        urgency,
+        item -> {
+          Optional<JobPhase> phase = item.flatMap(JobRecord::endedPhase);
           phase.ifPresent(terminal -> knownJobs.cacheTerminalPhase(ended, terminal));
           finish(endReads, ended, phase.isPresent());
         });
   }
 
-  private void readLists(JobRecord job, Consumer<Boolean> result) {
+  private void readLists(JobRecord job, KeyValueStore.Urgency urgency, Consumer<Boolean> result) {
     if (isFirst(listReads, job.id(), result)) {
-      readLists(job, new ArrayList<>(), 0);
+      readLists(job, urgency, new ArrayList<>(), 0);
     }
   }
 
-  private void readLists(JobRecord job, List<JobId> read, int list) {
+  private void readLists(
+      JobRecord job, KeyValueStore.Urgency urgency, List<JobId> found, int list) {
     JobDependencies dependencies = job.dependencies();
     if (list == dependencies.lists()) {
-      knownJobs.onDependenciesRead(job.id(), read);
+      knownJobs.onDependenciesRead(job.id(), found);
       finish(listReads, job.id(), true);
       return;
     }
-    store.get(
+    read(
         StoreKeys.dependencyList(job.id(), dependencies.digest(), list),
-        KeyValueStore.Urgency.NORMAL,
-        answer -> {
-          Optional<List<JobId>> names = found(answer).flatMap(DependencyReader::parseList);
+        urgency,
+        item -> {
+          Optional<List<JobId>> names = item.flatMap(DependencyReader::parseList);
           if (names.isPresent()) {
-            read.addAll(names.get());
-            readLists(job, read, list + 1);
+            found.addAll(names.get());
+            readLists(job, urgency, found, list + 1);
           } else {
             finish(listReads, job.id(), false);
           }
@@ -146,10 +212,29 @@
     }
   }
 
-  private static Optional<KeyValue> found(ReadResult<KeyValue> answer) {
-    return answer instanceof ReadResult.Found<KeyValue> found
-        ? Optional.of(found.value())
-        : Optional.empty();
+  /** Reads a key once the rate allows it; empty if it is absent or was not answered. */
+  private void read(
+      String key, KeyValueStore.Urgency urgency, Consumer<Optional<KeyValue>> result) {
+    read(key, urgency, MAX_RETRIES, result);
+  }
+
+  private void read(
+      String key,
+      KeyValueStore.Urgency urgency,
+      int remainingRetries,
+      Consumer<Optional<KeyValue>> result) {
+    store.get(
+        key,
+        urgency,
+        answer -> {
+          if (answer instanceof ReadResult.Found<KeyValue> found) {
+            result.accept(Optional.of(found.value()));
+          } else if (answer instanceof ReadResult.Refused<KeyValue> && remainingRetries > 0) {
+            loop.after(RETRY_DELAY, () -> read(key, urgency, remainingRetries - 1, result));
+          } else {
+            result.accept(Optional.empty());
+          }
+        });
   }
 
   /** Adds a caller to a read; the first one has to start it. */
--- a/src/main/java/org/mulleinshift/api/JobApi.java
+++ b/src/main/java/org/mulleinshift/api/JobApi.java
@@ -62,7 +62,7 @@
         new JobStatusReader(
             store,
             knownJobs,
-            new DependencyReader(store, knownJobs, dependencyCheck),
+            new DependencyReader(context.loop(), store, knownJobs, dependencyCheck),
             context.currentViewCheck(),
             context.memoryPressure());
     this.responses =
