Review: a forgotten attempt starts again by a held-up answer

An order to start a task in the answer to a report, overtaken by the direct one, starts the attempt a second time after it was halted and forgotten.

--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -29,8 +29,12 @@
     double flushS;
     long runMs = 3000;
     double guessS = 3;
+    double dueS = 600;
     volatile double cancelledAt;
 
+    /** Ends the job's running tasks before their time. */
+    volatile boolean finish;
+
     String body() {
       ObjectNode node = Http.JSON.createObjectNode();
       node.put("ref", ref).put("lane", "limit-refresh").put("crew", crew);
@@ -39,7 +43,11 @@
       node.put("bundle", bundle).put("pull_gb", pullGb).putNull("builds");
       node.put("yard", yard).put("same_place", false).put("spread", false).put("loaner", true);
       node.put("guess_s", guessS).put("snapshot_s", snapshotS).put("flush_s", flushS);
-      node.put("due_s", 600.0);
+      if (dueS > 0) {
+        node.put("due_s", dueS);
+      } else {
+        node.putNull("due_s");
+      }
       return node.toString();
     }
   }
@@ -303,6 +311,11 @@
     onMachines.getOrDefault(piece, new HashMap<>()).remove(host);
   }
 
+  /** The machine that the task is on; empty if it is on none. */
+  synchronized String machineOf(String piece) {
+    return onMachines.getOrDefault(piece, Map.of()).keySet().stream().findFirst().orElse("");
+  }
+
   synchronized boolean isOnMachine(String piece) {
     return !onMachines.getOrDefault(piece, Map.of()).isEmpty();
   }
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -193,12 +193,14 @@
       if (late >= 0) {
         Http.sleep(late);
         answer = Http.call(cluster.publicPort(target), "POST", "/checkin", body, 4000);
+        long answeredAt = now();
         long delay = cluster.workerTrouble.answerDelayMs(this, target, answer);
         if (delay < 0) {
           answer = new Http.Answer(0, "");
         } else if (delay > 0) {
-          cluster.record.line(host + " answer held for " + delay + " ms: " + answer.body());
           Http.sleep(Math.min(delay, Math.max(0, sentAt + 4000 - now())));
+          cluster.record.line(
+              host + " answer held for " + (now() - answeredAt) + " ms: " + answer.body());
         }
       }
       synchronized (this) {
@@ -384,7 +386,9 @@
               return;
             }
           }
-          pause(job.runMs);
+          for (long ran = 0; ran < job.runMs && !job.finish; ran += 50) {
+            pause(50);
+          }
           synchronized (this) {
             if (!gone && task.phase.equals("running") && tasks.get(piece + "#" + attempt) == task) {
               cluster.done(piece);
