--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -30,6 +30,7 @@
     long runMs = 3000;
     double guessS = 3;
     double dueS = 600;
+    List<String> awaits = List.of();
     volatile double cancelledAt;
 
     /** Ends the job's running tasks before their time. */
@@ -48,6 +49,9 @@
       } else {
         node.putNull("due_s");
       }
+      if (!awaits.isEmpty()) {
+        awaits.forEach(node.putArray("awaits")::add);
+      }
       return node.toString();
     }
   }
@@ -74,6 +78,9 @@
   private final Random random = new Random(7);
   volatile int started;
 
+  /** More of the settings, such as the limits that the state service will have. */
+  String moreSettings = "";
+
   Cluster(Path root, Path caseFolder, int machinesPerZone) throws Exception {
     System.setProperty("sun.net.httpserver.nodelay", "true");
     System.setProperty("sun.net.httpserver.maxIdleConnections", "2000");
@@ -147,6 +154,7 @@
     toml.append("[cluster.workers]\nreport_s = 2.0\nlease_s = 12.0\ngang_wait_s = 30.0\n");
     toml.append("gang_peer_s = 4.0\ncancel_s = 32.0\n");
     toml.append("[cluster.state]\nrps = 200.0\nwrite_rps = 40.0\nvalue_kb = 16.0\ntxn_ops = 12\n");
+    toml.append(moreSettings);
     toml.append("[cluster.cloud]\nrps = 8.0\nlist_lag_s = 4.0\n");
     toml.append("[cluster.limits]\ncpu = 0.44\nram_mb = 205.0\nfd_limit = 1500\n");
     return toml.toString();
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -26,9 +26,9 @@
 
   private final Record record;
   private final double rps;
-  private final double writeRps;
-  private final int txnOps;
-  private final int valueBytes;
+  private double writeRps;
+  private int txnOps;
+  private int valueBytes;
   private final TreeMap<String, Entry> keys = new TreeMap<>();
   private final List<Change> history = new ArrayList<>();
   private final Map<Long, Hold> holds = new HashMap<>();
@@ -52,6 +52,14 @@
     expiry.start();
   }
 
+  /** Lowers the limits from now on; what is stored stays readable. */
+  synchronized void lower(double nextWriteRps, int nextTxnOps, int nextValueBytes) {
+    writeRps = nextWriteRps;
+    txnOps = nextTxnOps;
+    valueBytes = nextValueBytes;
+    record.line("state: limits are lower now");
+  }
+
   void trouble(Trouble next) {
     trouble = next;
   }
