--- a/review/standins/Case1.java
+++ b/review/standins/Case1.java
@@ -7,7 +7,7 @@
  *
  * <p>A controller that owns a shard stands still for 6 s; the leader takes the shard, and gives it
  * back about 9 s after the controller went on. Around that moment new machines come up in the
- * other zone, and the state service takes 150 ms for a transaction that grants a shard and 400 to 650 ms
+ * other zone, and the state service takes 250 ms for a transaction that grants a shard and 400 to 750 ms
  * for an answer about changes of control keys; all other answers are quick.
  */
 final class Case1 {
@@ -114,7 +114,7 @@
     }
     if (path.equals("/commit") && request.contains("\"c/g/")) {
       grantedAt = now();
-      return 150;
+      return 250;
     }
     if (!path.startsWith("/changes?starts=c/")) {
       return 0;
@@ -124,7 +124,7 @@
     while (now() < made + 400) {
       Http.sleep(10);
     }
-    long held = grantedAt >= made ? grantedAt + 250 - made : 400;
+    long held = grantedAt >= made ? grantedAt + 350 - made : 400;
     Http.sleep(made + Math.max(400, held) - now());
     return 1;
   }
--- a/review/standins/Case3.java
+++ b/review/standins/Case3.java
@@ -4,12 +4,12 @@
 import java.util.concurrent.CountDownLatch;
 
 /**
- * A job waits for 66 jobs that each wait for 170 others, in a deployment whose state service will
+ * A job waits for 65 jobs that each wait for 150 others, in a deployment whose state service will
  * lower its limits: the lists of names are stored apart from the jobs' records.
  */
 final class Case3 {
-  private static final int ROOTS = 170;
-  private static final int MIDDLE = 66;
+  private static final int ROOTS = 150;
+  private static final int MIDDLE = 65;
   private static final double SECONDS = 90;
   private static Cluster cluster;
   private static int number;
