--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -109,12 +110,18 @@
     }
   }
 
+  /** A free port below those that the system gives to outgoing connections. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket()) {
-      socket.setReuseAddress(true);
-      socket.bind(new InetSocketAddress("127.0.0.1", 0));
-      return socket.getLocalPort();
+    for (int i = 0; i < 1000; i++) {
+      int port = 12_000 + (int) (Math.random() * 18_000);
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress("127.0.0.1", port));
+        return port;
+      } catch (BindException e) {
+        continue;
+      }
     }
+    throw new IOException("no free port");
   }
 
   static void sleep(long ms) {
