Knowledge of a shard's grant never goes back; one owner gets an assignment as fresh

Cause: the leader replaced each grant by the one in its view of the control keys. A watch's answer that the store made before a grant, but that came after the answer to the grant's own transaction, took the leader back to the earlier grant for some 0.4 s. It sent the earlier owner the full set, and tasks stored in between were new for both owners, by their revision alone.

Change: what is known of a grant carries the revision as of which it is known, and older knowledge changes nothing; a grant found stored when its key is read again counts at once and is not written again; an assignment is fresh only for the first owner it is sent to; an owner orders its reads of grants by the store's revision. No wait, message or stored change is added.

--- a/src/main/java/org/mulleinshift/controller/ControlKeysListener.java
+++ b/src/main/java/org/mulleinshift/controller/ControlKeysListener.java
@@ -36,6 +36,7 @@
 
   @Override
   public void onCaughtUp(Revision revision) {
+    view.markCurrentAsOf(revision);
     if (grantsChanged) {
       grantsChanged = false;
       onGrantsChanged.run();
--- a/src/main/java/org/mulleinshift/leader/Leader.java
+++ b/src/main/java/org/mulleinshift/leader/Leader.java
@@ -256,17 +256,7 @@
     if (state != State.LEADING) {
       return;
     }
-    for (ShardView shard : cluster.shards().all()) {
-      Optional<ClusterView.GrantRecord> grantInView =
-          Optional.ofNullable(context.view().grants().get(shard.id()));
-      shard.grant(
-          grantInView.map(grant -> new ShardView.Grant(grant.owner(), grant.revision())),
-          loop.now());
-      String key = StoreKeys.grant(shard.id());
-      grantInView.ifPresentOrElse(
-          grant -> batcher.recordRevision(key, grant.revision()),
-          () -> batcher.forgetRevision(key));
-    }
+    grants.onViewChanged();
     grants.assign();
     assignments.schedule();
   }
--- a/src/main/java/org/mulleinshift/membership/ControllerSession.java
+++ b/src/main/java/org/mulleinshift/membership/ControllerSession.java
@@ -57,7 +57,10 @@
   private final OwnershipLease ownership;
   private State state = State.REVOKING_OLD;
   private Optional<LeaseId> lease = Optional.empty();
-  private MonotonicTime grantsVerifiedAsOf;
+
+  /** The store revision of the newest read of the grants. */
+  private Revision grantsRevision = new Revision(0);
+
   private boolean lastLoggedValid;
   private Map<ShardId, Revision> verifiedGrants = Map.of();
   private boolean verificationScheduled;
@@ -87,7 +90,6 @@
     this.confirmCancellations = confirmCancellations;
     this.onChange = onChange;
     this.ownership = new OwnershipLease(ttl);
-    this.grantsVerifiedAsOf = loop.now().minus(ttl);
   }
 
   /** Revokes the leases that the previous process left in the store, then opens a session. */
@@ -220,15 +222,24 @@
     acquire();
   }
 
-  private void onGrantsVerified(MonotonicTime sent, Map<ShardId, Revision> ownGrants) {
-    if (sent.isAfter(grantsVerifiedAsOf)) {
-      grantsVerifiedAsOf = sent;
-      ownership.confirm(Evidence.GRANTS_READ, sent);
-      boolean changed = !ownGrants.equals(verifiedGrants);
-      verifiedGrants = ownGrants;
-      if (changed) {
-        onChange.run();
-      }
+  /**
+   * Applies the own grants as read from the store. Several reads may be in flight, and the store
+   * may serve them in another order than they were sent, so the revision tells which is newer. An
+   * older one is evidence all the same: the grants known already are valid as of a later time than
+   * it was sent.
+   */
+  private void onGrantsVerified(
+      MonotonicTime sent, Revision revision, Map<ShardId, Revision> ownGrants) {
+    ownership.confirm(Evidence.GRANTS_READ, sent);
+    if (revision.compareTo(grantsRevision) < 0) {
+      LOG.debug("outdated grants ignored, revision={} known={}", revision, grantsRevision);
+      return;
+    }
+    grantsRevision = revision;
+    boolean changed = !ownGrants.equals(verifiedGrants);
+    verifiedGrants = ownGrants;
+    if (changed) {
+      onChange.run();
     }
   }
 
@@ -237,13 +248,14 @@
    * controller. Both happened after the request was sent, so the evidence is valid as of then.
    *
    * @param sent when this controller sent the request
-   * @param ownGrants the current grants of this controller
+   * @param revision the store revision as of which the grants are known
+   * @param ownGrants the grants of this controller
    */
   public void onRenewedByPeer(
-      LeaseId renewed, MonotonicTime sent, Map<ShardId, Revision> ownGrants) {
+      LeaseId renewed, MonotonicTime sent, Revision revision, Map<ShardId, Revision> ownGrants) {
     if (state == State.ACTIVE && lease.equals(Optional.of(renewed))) {
       onRenewed(sent);
-      onGrantsVerified(sent, ownGrants);
+      onGrantsVerified(sent, revision, ownGrants);
     }
   }
 
@@ -263,12 +275,12 @@
           if (answer instanceof ReadResult.Found<StoreCodec.Range> found) {
             Map<ShardId, Revision> ownGrants = new HashMap<>();
             for (KeyValue item : found.value().items()) {
-              if (ClusterView.readGrant(item).owner().equals(self)) {
-                ownGrants.put(
-                    new ShardId(item.key().substring(StoreKeys.GRANTS.length())), item.revision());
-              }
+              ClusterView.readGrant(item)
+                  .filter(grant -> grant.owner().equals(self))
+                  .ifPresent(
+                      grant -> ownGrants.put(StoreKeys.shardOfGrant(item.key()), grant.revision()));
             }
-            onGrantsVerified(sent, ownGrants);
+            onGrantsVerified(sent, found.value().revision(), ownGrants);
           }
         });
   }
--- a/src/main/java/org/mulleinshift/membership/IndirectLeaseRenewal.java
+++ b/src/main/java/org/mulleinshift/membership/IndirectLeaseRenewal.java
@@ -245,7 +245,7 @@
       // The watcher's listener notifies the session once the changes are applied.
       activeJobs.tryApply(changes, request.sentAt);
     } else if (controlKeys.tryApply(changes, request.sentAt)) {
-      session.onRenewedByPeer(request.lease, request.sentAt, ownGrants());
+      session.onRenewedByPeer(request.lease, request.sentAt, controlKeys.revision(), ownGrants());
     }
   }
 
--- a/src/main/java/org/mulleinshift/model/ClusterView.java
+++ b/src/main/java/org/mulleinshift/model/ClusterView.java
@@ -140,6 +140,7 @@
     }
   }
 
+  private Revision revision = new Revision(0);
   private Optional<LeaderRecord> leader = Optional.empty();
   private final Map<NodeId, NodeRecord> nodes = new HashMap<>();
   private final Map<ShardId, GrantRecord> grants = new HashMap<>();
@@ -169,6 +170,16 @@
     return Json.object().put(OWNER, owner.value());
   }
 
+  /** Records that all changes up to the revision have been applied. */
+  public void markCurrentAsOf(Revision upTo) {
+    revision = upTo;
+  }
+
+  /** The revision up to which the view has all changes; it may have some later ones. */
+  public Revision revision() {
+    return revision;
+  }
+
   /** Applies a change of a control key; the item is empty if the key was deleted. */
   public void apply(String key, Optional<KeyValue> item) {
     if (key.equals(StoreKeys.LEADER)) {
@@ -183,7 +194,7 @@
           new NodeId(key.substring(StoreKeys.FEATURE_LEVELS.length())),
           item.map(ClusterView::readFeatureLevel));
     } else if (key.startsWith(StoreKeys.GRANTS)) {
-      applyGrant(new ShardId(key.substring(StoreKeys.GRANTS.length())), item);
+      applyGrant(StoreKeys.shardOfGrant(key), item);
     } else if (key.startsWith(StoreKeys.SHARDS)) {
       applyShard(new ShardId(key.substring(StoreKeys.SHARDS.length())), item);
     }
@@ -194,9 +205,9 @@
     return LeaderRecord.read(item);
   }
 
-  /** Reads the record of a shard's owner. */
-  public static GrantRecord readGrant(KeyValue item) {
-    return GrantRecord.read(item);
+  /** Reads the record of a shard's owner; empty if this build can't read it. */
+  public static Optional<GrantRecord> readGrant(KeyValue item) {
+    return Optional.of(item).filter(GrantRecord::isReadable).map(GrantRecord::read);
   }
 
   /** Reads the feature level of a controller; 0 if none is stored or it is not a number. */
@@ -219,12 +230,12 @@
 
   private void applyGrant(ShardId shard, Optional<KeyValue> item) {
     unreadableGrants.remove(shard);
-    Optional<KeyValue> readable = item.filter(GrantRecord::isReadable);
-    if (item.isPresent() && readable.isEmpty()) {
+    Optional<GrantRecord> grant = item.flatMap(ClusterView::readGrant);
+    if (item.isPresent() && grant.isEmpty()) {
       LOG.warn("stored record unreadable, key={} reason=no owner", item.get().key());
       unreadableGrants.add(shard);
     }
-    putOrRemove(grants, shard, readable.map(GrantRecord::read));
+    putOrRemove(grants, shard, grant);
   }
 
   private void applyShard(ShardId shard, Optional<KeyValue> item) {
--- a/src/main/java/org/mulleinshift/model/TaskAssignment.java
+++ b/src/main/java/org/mulleinshift/model/TaskAssignment.java
@@ -40,6 +40,9 @@
   private boolean stopRequested;
   private Revision storedRevision = new Revision(0);
 
+  /** The grant of the owner to which it was sent first; empty until then. */
+  private Optional<Revision> firstSentUnder = Optional.empty();
+
   TaskAssignment(
       TaskId task, Resources resources, ShardId shard, ZoneId zone, Attempt attempt, State state) {
     this.task = task;
@@ -65,6 +68,13 @@
     }
   }
 
+  /** Records that it is sent to the owner under the grant. */
+  public void markSent(Revision grant) {
+    if (firstSentUnder.isEmpty()) {
+      firstSentUnder = Optional.of(grant);
+    }
+  }
+
   /** Records that the owner placed the task on a machine. */
   public void markPlaced(MachineId placedOn) {
     machine = Optional.of(placedOn);
@@ -146,11 +156,12 @@
   }
 
   /**
-   * Returns the store revision at which it was stored; 0 if it is not stored, or was stored by an
-   * earlier leader.
+   * Whether no owner under an earlier grant can have placed the task: this leader stored it after
+   * the grant, and sent it under no other grant before. The revisions alone don't show that, since
+   * the leader may have learned of the grant later than it stored the assignment.
    */
-  public Revision storedAt() {
-    return storedRevision;
+  public boolean isFreshUnder(Revision grant) {
+    return storedRevision.compareTo(grant) > 0 && firstSentUnder.equals(Optional.of(grant));
   }
 
   /** Whether the owner knows it or may soon know it; false while it is not yet stored. */
--- a/src/main/java/org/mulleinshift/sharding/AssignmentWriter.java
+++ b/src/main/java/org/mulleinshift/sharding/AssignmentWriter.java
@@ -97,9 +97,12 @@
   }
 
   private static AssignedTask assignedTask(TaskAssignment assignment, Revision grant) {
-    boolean fresh = assignment.storedAt().compareTo(grant) > 0;
+    assignment.markSent(grant);
     return new AssignedTask(
-        assignment.task().index(), assignment.attempt().value(), fresh, mustNotStart(assignment));
+        assignment.task().index(),
+        assignment.attempt().value(),
+        assignment.isFreshUnder(grant),
+        mustNotStart(assignment));
   }
 
   /**
--- a/src/main/java/org/mulleinshift/sharding/ShardGrants.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardGrants.java
@@ -13,8 +13,10 @@
 import org.mulleinshift.membership.ShardAssigner;
 import org.mulleinshift.membership.WorkerReachability;
 import org.mulleinshift.model.ClusterView;
+import org.mulleinshift.model.ClusterView.GrantRecord;
 import org.mulleinshift.protocol.NodeId;
 import org.mulleinshift.protocol.Revision;
+import org.mulleinshift.protocol.StoreCodec.KeyValue;
 import org.mulleinshift.protocol.StoreCodec.Write;
 import org.mulleinshift.store.StoreKeys;
 import org.mulleinshift.store.TransactionBatcher;
@@ -65,6 +67,29 @@
     this.assigner = assigner;
   }
 
+  /**
+   * Applies the grants in the view of the control keys: they may be new, or gone with the session
+   * of a controller. A view that is older than a grant of this leader does not undo it.
+   */
+  public void onViewChanged() {
+    for (ShardView shard : shards.all()) {
+      Optional<GrantRecord> inView = Optional.ofNullable(view.grants().get(shard.id()));
+      // The view may have single changes beyond its revision.
+      Revision asOf =
+          inView
+              .map(GrantRecord::revision)
+              .filter(revision -> revision.compareTo(view.revision()) > 0)
+              .orElse(view.revision());
+      if (shard.applyGrant(inView.map(ShardGrants::toGrant), asOf, loop.now())) {
+        shards.recordGrantRevision(shard.id(), inView.map(GrantRecord::revision));
+      }
+    }
+  }
+
+  private static ShardView.Grant toGrant(GrantRecord stored) {
+    return new ShardView.Grant(stored.owner(), stored.revision());
+  }
+
   /**
    * Grants the shards that have no owner or should have another one; does nothing if the term's
    * lease is not valid.
@@ -136,6 +161,7 @@
   private final class GrantMutation implements TransactionBatcher.Mutation {
     private final ShardView shard;
     private final NodeId owner;
+    private boolean foundStored;
 
     GrantMutation(ShardView shard, NodeId owner) {
       this.shard = shard;
@@ -145,7 +171,7 @@
     @Override
     public List<Write> writes() {
       ClusterView.NodeRecord node = view.nodes().get(owner);
-      if (node == null) {
+      if (node == null || foundStored) {
         shard.setPendingOwner(Optional.empty());
         return List.of();
       }
@@ -156,8 +182,30 @@
     @Override
     public void onCommitted(Revision revision) {
       shard.setPendingOwner(Optional.empty());
-      shard.grant(Optional.of(new ShardView.Grant(owner, revision)), loop.now());
-      if (shard.setLastOwner(Optional.of(owner)) && shards.isStored(shard.id())) {
+      onStored(new ShardView.Grant(owner, revision));
+    }
+
+    /**
+     * Applies a grant that was stored although its answer is missing. From now on nothing is sent
+     * under the grant before it.
+     */
+    @Override
+    public void onReread(String key, Optional<KeyValue> item) {
+      if (!key.equals(StoreKeys.grant(shard.id()))) {
+        return;
+      }
+      Optional<ShardView.Grant> stored =
+          item.flatMap(ClusterView::readGrant).map(ShardGrants::toGrant);
+      boolean changed = stored.isPresent() && !stored.equals(shard.grant());
+      if (changed && shard.applyGrant(stored, stored.get().revision(), loop.now())) {
+        foundStored = stored.get().owner().equals(owner);
+        onStored(stored.get());
+      }
+    }
+
+    private void onStored(ShardView.Grant grant) {
+      shard.applyGrant(Optional.of(grant), grant.revision(), loop.now());
+      if (shard.setLastOwner(Optional.of(grant.owner())) && shards.isStored(shard.id())) {
         // Not urgent: it is read only after a later failure of several controllers.
         shards.storeWhenIdle(shard);
       }
--- a/src/main/java/org/mulleinshift/sharding/ShardTable.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardTable.java
@@ -121,6 +121,13 @@
     batcher.submit(StoreKeys.grant(id), grant);
   }
 
+  /** Records the revision of the shard's stored grant; empty if it has none. */
+  void recordGrantRevision(ShardId id, Optional<Revision> revision) {
+    String key = StoreKeys.grant(id);
+    revision.ifPresentOrElse(
+        known -> batcher.recordRevision(key, known), () -> batcher.forgetRevision(key));
+  }
+
   /** Whether the shard's record is known to be stored. */
   boolean isStored(ShardId id) {
     return batcher.hasRevision(StoreKeys.shard(id));
--- a/src/main/java/org/mulleinshift/sharding/ShardView.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardView.java
@@ -25,6 +25,8 @@
 import org.mulleinshift.protocol.peer.MachineStatus;
 import org.mulleinshift.protocol.peer.ShardStatus;
 import org.mulleinshift.transport.MonotonicTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The leader's view of a shard: its machines, its grant, what its owner reported, and the tasks
@@ -32,6 +34,8 @@
  * size of a message depends on the number of changes and not on the size of the shard.
  */
 public final class ShardView implements AssignableShard {
+  private static final Logger LOG = LoggerFactory.getLogger(ShardView.class);
+
   /**
    * A shard's current grant.
    *
@@ -50,6 +54,10 @@
   private final PublishedAssignments assignments;
   private Optional<UnknownFields> unknownFields = Optional.empty();
   private Optional<Grant> grant = Optional.empty();
+
+  /** The revision as of which the grant is known. */
+  private Revision grantKnownAsOf = new Revision(0);
+
   private MonotonicTime grantChangedAt;
   private Optional<NodeId> pendingOwner = Optional.empty();
   private Optional<NodeId> lastOwner = Optional.empty();
@@ -104,9 +112,33 @@
     return grant;
   }
 
-  /** Sets the stored grant; a new one discards what an earlier owner reported and acknowledged. */
-  public void grant(Optional<Grant> next, MonotonicTime now) {
+  /**
+   * Applies what is known of the stored grant as of a revision. Knowledge that is older than what
+   * was applied before changes nothing: answers of the store arrive in any order. A new grant
+   * discards what an earlier owner reported and acknowledged.
+   *
+   * @param next the grant; empty if the shard had none
+   * @param asOf a revision at which the store had this grant, or none
+   * @return whether it is as new as what was known before
+   */
+  boolean applyGrant(Optional<Grant> next, Revision asOf, MonotonicTime now) {
+    if (asOf.compareTo(grantKnownAsOf) < 0) {
+      LOG.debug(
+          "outdated grant ignored, shard={} grant={} as_of={} known_as_of={}",
+          id,
+          describe(next),
+          asOf,
+          grantKnownAsOf);
+      return false;
+    }
+    grantKnownAsOf = asOf;
     if (!next.equals(grant)) {
+      LOG.info(
+          "shard grant changed, shard={} from={} to={} as_of={}",
+          id,
+          describe(grant),
+          describe(next),
+          asOf);
       grant = next;
       grantChangedAt = now;
       statusReceived = false;
@@ -116,6 +148,11 @@
       suspicions.clear();
       assignments.resetForNewOwner(now);
     }
+    return true;
+  }
+
+  private static String describe(Optional<Grant> grant) {
+    return grant.map(present -> present.owner() + "/" + present.revision()).orElse("none");
   }
 
   @Override
--- a/src/main/java/org/mulleinshift/store/StoreKeys.java
+++ b/src/main/java/org/mulleinshift/store/StoreKeys.java
@@ -58,6 +58,11 @@
     return GRANTS + shard;
   }
 
+  /** The shard of a key that {@link #grant} returned. */
+  public static ShardId shardOfGrant(String key) {
+    return new ShardId(key.substring(GRANTS.length()));
+  }
+
   /** The key of a shard's zone and machines. */
   public static String shard(ShardId shard) {
     return SHARDS + shard;
--- a/src/test/java/org/mulleinshift/scenario/StoreCommands.java
+++ b/src/test/java/org/mulleinshift/scenario/StoreCommands.java
@@ -38,6 +38,9 @@
     commands.add("mute", line -> faults.loseTransactionResponses(host(line), line.number(2)));
     commands.add("hold-watches", line -> faults.withholdWatchResponses(host(line), line.number(2)));
     commands.add("hold-news", line -> faults.withholdChangeResponses(host(line), line.number(2)));
+    commands.add(
+        "late-news",
+        line -> faults.delayChangeResponses(line.word(1), line.number(2), line.number(THIRD)));
     commands.add("late", line -> faults.slow(line.number(1), line.number(2)));
   }
 
--- a/src/test/java/org/mulleinshift/simulation/StoreFaults.java
+++ b/src/test/java/org/mulleinshift/simulation/StoreFaults.java
@@ -11,6 +11,7 @@
 public final class StoreFaults {
   private static final double MIN_DELAY_SECONDS = 2;
   private static final double DELAY_SPREAD_SECONDS = 10;
+  private static final double MIN_REPORT_DELAY_FACTOR = 0.5;
 
   /**
    * Selects a random share of the transactions of a kind, or of all kinds if {@code kind} is empty.
@@ -25,6 +26,11 @@
     }
   }
 
+  /** Delays the reports of changes of keys with the prefix. */
+  private record DelayedReports(String prefix, double seconds, double until) {
+    static final DelayedReports NONE = new DelayedReports("", 0, 0);
+  }
+
   private final Timeline timeline;
   private final Map<String, Double> requestsRejectedUntil = new HashMap<>();
   private final Map<String, Double> responsesLostUntil = new HashMap<>();
@@ -32,6 +38,7 @@
   private final Map<String, Double> readsOfChangesWithheldUntil = new HashMap<>();
   private Affected delayedTransactions = Affected.NONE;
   private Affected lostResponses = Affected.NONE;
+  private DelayedReports delayedReports = DelayedReports.NONE;
   private double outageUntil;
   private double slowUntil;
   private double slowBySeconds;
@@ -86,6 +93,14 @@
     slowUntil = timeline.seconds() + seconds;
   }
 
+  /**
+   * Responses that report changes of keys with the prefix arrive up to {@code bySeconds} later than
+   * the store made them, so that responses to later requests overtake them.
+   */
+  public void delayChangeResponses(String prefix, double bySeconds, double seconds) {
+    delayedReports = new DelayedReports(prefix, bySeconds, timeline.seconds() + seconds);
+  }
+
   boolean inOutage() {
     return timeline.seconds() < outageUntil;
   }
@@ -122,6 +137,16 @@
     return lostResponses.covers(timeline, transaction);
   }
 
+  /** Delivers a response that reports changes of keys with the prefix. */
+  void deliverChanges(String prefix, HttpResponse response, Consumer<HttpResponse> reply) {
+    if (timeline.seconds() < delayedReports.until() && prefix.equals(delayedReports.prefix())) {
+      double factor = MIN_REPORT_DELAY_FACTOR + (1 - MIN_REPORT_DELAY_FACTOR) * timeline.random();
+      timeline.after(delayedReports.seconds() * factor, () -> reply.accept(response));
+    } else {
+      reply.accept(response);
+    }
+  }
+
   Consumer<HttpResponse> slowed(Consumer<HttpResponse> reply) {
     return timeline.seconds() < slowUntil
         ? response -> timeline.after(slowBySeconds, () -> reply.accept(response))
--- a/src/test/java/org/mulleinshift/simulation/StoreWatches.java
+++ b/src/test/java/org/mulleinshift/simulation/StoreWatches.java
@@ -53,7 +53,7 @@
   void respondToReady() {
     List<Watch> ready = watches.stream().filter(this::isReady).toList();
     watches.removeAll(ready);
-    ready.forEach(watch -> watch.reply().accept(answer(watch)));
+    ready.forEach(watch -> faults.deliverChanges(watch.prefix(), answer(watch), watch.reply()));
   }
 
   private HttpResponse answer(Watch watch) {
