A worker forgets an attempt only once no answer that starts it can still arrive

Cause: an order to start a task goes directly and, while that is on its way, in the answer to a report too. The owner held a forget back while a direct order was unanswered, but not while an answer to a report could still arrive. Held up by a second, the answer came after the forget, under the same token, and the worker no longer knew the attempt.

Change: the owner keeps which attempts the answer to the machine's newest report starts, and orders no forget of them before a newer report. A worker has one report on its way at a time, so a newer one shows that the answer came or is no longer accepted. No wait, message or stored change is added. New rule of the invariant checker in all scenarios: started_again.

--- a/src/main/java/org/mulleinshift/sharding/CommandPlanner.java
+++ b/src/main/java/org/mulleinshift/sharding/CommandPlanner.java
@@ -60,11 +60,12 @@
 
   /**
    * Whether the worker may forget an exited attempt. Once the leader no longer assigns the attempt,
-   * its completion is stored. While a direct command is in flight the worker must not forget it:
-   * the command could start it again.
+   * its completion is stored. While a message that starts it may be in flight, direct or in the
+   * response to a heartbeat, the worker must not forget it: the message would start it again.
    */
   private boolean mayForget(OwnedMachine machine, WorkerHeartbeat.ReportedTask exited) {
-    return assignments.isAuthoritativeFor(exited.task().job()) && !machine.directCommandInFlight();
+    return assignments.isAuthoritativeFor(exited.task().job())
+        && !machine.startMayBeInFlight(exited.task(), exited.attempt());
   }
 
   private Duration gracePeriodOf(OwnedTask task) {
--- a/src/main/java/org/mulleinshift/sharding/OwnedMachine.java
+++ b/src/main/java/org/mulleinshift/sharding/OwnedMachine.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.mulleinshift.model.ClusterView.MachineRecord;
+import org.mulleinshift.protocol.Attempt;
 import org.mulleinshift.protocol.FencingToken;
 import org.mulleinshift.protocol.HeartbeatVersion;
 import org.mulleinshift.protocol.JobId;
@@ -15,6 +16,7 @@
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.TaskId;
+import org.mulleinshift.protocol.WorkerCommand;
 import org.mulleinshift.protocol.WorkerHeartbeat;
 import org.mulleinshift.protocol.peer.MachineStatus;
 import org.mulleinshift.transport.MonotonicTime;
@@ -49,6 +51,7 @@
 
   private List<WorkerHeartbeat.ReportedTask> appliedEntries = List.of();
   private long appliedBindingChanges = -1;
+  private final StartsInResponse startsInResponse = new StartsInResponse();
   private boolean directCommandInFlight;
   private boolean commandsPending;
 
@@ -137,8 +140,9 @@
   }
 
   /** Records the arrival of a heartbeat, whether or not this node may respond to it. */
-  void markHeartbeatReceived(MonotonicTime now) {
+  void markHeartbeatReceived(HeartbeatVersion version, MonotonicTime now) {
     heartbeatReceivedAt = Optional.of(now);
+    startsInResponse.onHeartbeat(version);
   }
 
   /** When the last heartbeat was received; empty if none was. */
@@ -151,6 +155,17 @@
     lastResponseAt = Optional.of(now);
   }
 
+  /** Records the commands in the response to a heartbeat: all commands known so far. */
+  void markCommandsInResponse(List<WorkerCommand> commands) {
+    commandsPending = false;
+    startsInResponse.onResponse(commands);
+  }
+
+  /** Whether a message that starts the attempt may still be on its way to the worker. */
+  boolean startMayBeInFlight(TaskId task, Attempt attempt) {
+    return directCommandInFlight || startsInResponse.contains(task, attempt);
+  }
+
   /** When a heartbeat was last responded to; empty if none was. */
   Optional<MonotonicTime> lastResponseAt() {
     return lastResponseAt;
--- a/src/main/java/org/mulleinshift/sharding/ShardOwner.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardOwner.java
@@ -12,6 +12,7 @@
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.ShardId;
 import org.mulleinshift.protocol.WorkerCodec;
+import org.mulleinshift.protocol.WorkerCommand;
 import org.mulleinshift.protocol.WorkerHeartbeat;
 import org.mulleinshift.protocol.peer.ShardAssignment;
 import org.mulleinshift.protocol.peer.ShardStatusAck;
@@ -133,7 +134,7 @@
       return Optional.empty();
     }
     // Even without a response, the heartbeat shows that its worker is alive and reaches this node.
-    machine.markHeartbeatReceived(loop.now());
+    machine.markHeartbeatReceived(heartbeat.version(), loop.now());
     if (!mayAct()) {
       return Optional.empty();
     }
@@ -148,9 +149,9 @@
     reconciler.apply(machine, heartbeat);
     machine.markResponded(loop.now());
     placeTasks();
-    String body =
-        WorkerCodec.writeHeartbeatResponse(machine.token(), commandPlanner.commandsFor(machine));
-    machine.clearCommandsPending();
+    List<WorkerCommand> commands = commandPlanner.commandsFor(machine);
+    String body = WorkerCodec.writeHeartbeatResponse(machine.token(), commands);
+    machine.markCommandsInResponse(commands);
     sendDirectCommands();
     return Optional.of(body);
   }
--- a/src/test/java/org/mulleinshift/invariants/Rule.java
+++ b/src/test/java/org/mulleinshift/invariants/Rule.java
@@ -6,6 +6,8 @@
 public enum Rule {
   /** A task ran on two machines at a time. */
   RAN_TWICE,
+  /** A worker carried out a command to start an attempt after it was told to forget the attempt. */
+  STARTED_AGAIN,
   /** A task ran where its job's constraints exclude it. */
   WRONG_PLACE,
   /** A task started although its job's end was stored. */
--- a/src/test/java/org/mulleinshift/invariants/RunningTasks.java
+++ b/src/test/java/org/mulleinshift/invariants/RunningTasks.java
@@ -115,6 +115,11 @@
     onStart.accept(job);
   }
 
+  /** Records that a machine carries out a command to start an attempt that it has forgotten. */
+  public void startedAgain(String attempt, String machine) {
+    violations.add(Rule.STARTED_AGAIN, attempt + " on " + machine);
+  }
+
   private void checkRunsOnce(String task, MachineTraits machine) {
     Placement other = running.get(task);
     if (other != null) {
--- a/src/test/java/org/mulleinshift/sharding/CommandsInFlightTest.java
+++ b/src/test/java/org/mulleinshift/sharding/CommandsInFlightTest.java
@@ -1,6 +1,7 @@
 package org.mulleinshift.sharding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.mulleinshift.sharding.ShardOwnerFixture.JOB;
 import static org.mulleinshift.sharding.ShardOwnerFixture.MACHINE;
@@ -13,10 +14,13 @@
 import org.mulleinshift.transport.HttpResponse;
 
 /**
- * Guards against a cancelled task being started when a direct command overtakes the response to a
- * heartbeat that starts it.
+ * Guards against a task being started by the response to a heartbeat, which direct commands have
+ * overtaken: a cancelled task, or an attempt that the worker was told to forget.
  */
 final class CommandsInFlightTest {
+  private static final String STOPPED =
+      "{\"piece\":\"run-1/0\",\"try\":1,\"phase\":\"exited\",\"cause\":\"halted\"}";
+
   private final ShardOwnerFixture fixture = new ShardOwnerFixture(MACHINE);
 
   private static long token(String body) throws MalformedMessageException {
@@ -52,4 +56,57 @@
     assertTrue(stop.contains("halt") && stop.contains("run-1/1"), stop);
     assertTrue(token(stop) > token(response), "the worker must drop the response: " + stop);
   }
+
+  /**
+   * Has a direct command and the response to a heartbeat start the same task, whose end the worker
+   * reports in its response to the direct command and the leader stores; returns the response to
+   * the heartbeat, which is still on its way.
+   */
+  private String startTwiceAndEnd() throws MalformedMessageException {
+    fixture.confirm(MACHINE);
+    fixture.assign(1, 0, Origin.FRESH);
+    String response = fixture.sendHeartbeat(MACHINE, 3, TOKEN, "").orElseThrow();
+    assertTrue(response.contains("run-1/0"), response);
+    answerLastDirectMessage(4);
+    fixture.unassign(2, 0);
+    return response;
+  }
+
+  private void answerLastDirectMessage(int sequence) {
+    String report = ShardOwnerFixture.heartbeat(MACHINE, sequence, TOKEN, STOPPED);
+    fixture.lastDirectMessage().reply().accept(new HttpResponse(200, report));
+  }
+
+  @Test
+  void attemptThatAResponseMayStillStartIsNotForgotten() throws MalformedMessageException {
+    startTwiceAndEnd();
+
+    // When another task is started, which sends all commands that are due.
+    fixture.assign(3, 1, Origin.FRESH);
+    String direct = fixture.lastDirectMessage().body();
+    assertTrue(direct.contains("run-1/1"), direct);
+    assertFalse(direct.contains("forget"), direct);
+    answerLastDirectMessage(5);
+    fixture.assign(4, 2, Origin.FRESH);
+
+    // Then a report in the response to a direct command doesn't show that the other one arrived.
+    assertFalse(fixture.lastDirectMessage().body().contains("forget"));
+  }
+
+  @Test
+  void nextHeartbeatShowsThatTheResponseIsNoLongerOnItsWay() throws MalformedMessageException {
+    startTwiceAndEnd();
+    String next = fixture.sendHeartbeat(MACHINE, 5, TOKEN, STOPPED).orElseThrow();
+    assertTrue(next.contains("forget"), next);
+  }
+
+  @Test
+  void lateCopyOfAHeartbeatShowsNothing() throws MalformedMessageException {
+    startTwiceAndEnd();
+    fixture.assign(3, 1, Origin.FRESH);
+    answerLastDirectMessage(5);
+    fixture.sendHeartbeat(MACHINE, 2, TOKEN, "");
+    fixture.assign(4, 2, Origin.FRESH);
+    assertFalse(fixture.lastDirectMessage().body().contains("forget"));
+  }
 }
--- a/src/test/java/org/mulleinshift/simulation/WorkerTasks.java
+++ b/src/test/java/org/mulleinshift/simulation/WorkerTasks.java
@@ -34,6 +34,10 @@
   private final Host host;
   private final Map<String, WorkerTask> tasks = new LinkedHashMap<>();
   private final Set<String> images = new HashSet<>();
+
+  /** Attempts that the worker was told to forget in this epoch. */
+  private final Set<String> forgotten = new HashSet<>();
+
   private double slowFactor = 1;
   private boolean failing;
 
@@ -62,6 +66,7 @@
   void clear() {
     tasks.values().forEach(task -> checker.tasks().ended(task.name(), machine.name()));
     tasks.clear();
+    forgotten.clear();
   }
 
   void clearImages() {
@@ -95,6 +100,9 @@
       return;
     }
     WorkerTask task = new WorkerTask(name, attempt);
+    if (forgotten.contains(task.key())) {
+      checker.tasks().startedAgain(task.key(), machine.name());
+    }
     ObservedJob job = jobOf(name);
     boolean busy =
         tasks.values().stream().anyMatch(other -> other.name().equals(name) && !other.exited());
@@ -171,6 +179,7 @@
     WorkerTask task = tasks.get(WorkerTask.key(name, attempt));
     if (task != null && task.exited()) {
       tasks.remove(task.key());
+      forgotten.add(task.key());
     }
   }
 
