A leader does not take up a job again whose end it has stored

Seen: nothing by callers; in the store, ends of cancelled jobs stored twice.

Cause: the leader learns of a cancellation when the transaction of the job's end is refused, and ends the job as cancelled. An answer to its watch, made in between and overtaken, then brought the cancelled record, and the job, no longer known, was admitted as new.

Change: a record of a job that ended in this term is ignored, since no job is accepted again after its end.

--- a/src/main/java/org/mulleinshift/dependencies/DependencyTracker.java
+++ b/src/main/java/org/mulleinshift/dependencies/DependencyTracker.java
@@ -180,6 +180,11 @@
     resolver.onEnded(job.spec().id(), end);
   }
 
+  /** Whether the end of the job was stored in this term; only the latest ends are known. */
+  public boolean hasEnded(JobId job) {
+    return cachedEnds.containsKey(job);
+  }
+
   /** Stops tracking a waiting job without releasing or cancelling it. */
   public void remove(JobId job) {
     resolver.remove(job);
--- a/src/main/java/org/mulleinshift/leader/JobLifecycle.java
+++ b/src/main/java/org/mulleinshift/leader/JobLifecycle.java
@@ -20,6 +20,8 @@
 import org.mulleinshift.scheduling.TaskActions;
 import org.mulleinshift.store.KeyValueStore;
 import org.mulleinshift.store.TransactionBatcher;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Manages the jobs of a term from admission to their stored end: persists their progress, holds
@@ -27,6 +29,8 @@
  */
 final class JobLifecycle
     implements JobDirectory, ProgressListener, DependencyTracker.TermContext, TaskActions {
+  private static final Logger LOG = LoggerFactory.getLogger(JobLifecycle.class);
+
   private final ClusterState state;
   private final TermState term;
   private final ProgressPersister progress;
@@ -62,6 +66,18 @@
     }
   }
 
+  /**
+   * Admits a job that the watch reported, unless its end is stored: an answer to the watch may be
+   * older than that. A job is never accepted again after its end.
+   */
+  void admitUnlessEnded(JobRecord record) {
+    if (dependencies.hasEnded(record.id())) {
+      LOG.debug("outdated job record ignored, job={}", record.id());
+    } else {
+      admit(record);
+    }
+  }
+
   /**
    * Applies the record of a known job, reported by the watch or read again, if it is newer than the
    * known one.
--- a/src/main/java/org/mulleinshift/leader/Leader.java
+++ b/src/main/java/org/mulleinshift/leader/Leader.java
@@ -244,7 +244,7 @@
     }
     Optional<Job> known = jobs.findJob(record.id());
     if (known.isEmpty()) {
-      jobs.admit(record);
+      jobs.admitUnlessEnded(record);
     } else {
       jobs.onRecordRead(known.get(), record);
     }
--- a/src/test/java/org/mulleinshift/scenario/StoreExpectations.java
+++ b/src/test/java/org/mulleinshift/scenario/StoreExpectations.java
@@ -50,6 +50,7 @@
             unless(!history.termBeganBetween(line.number(1), endSeconds), "a term began"));
     kinds.put(
         "granted", (line, limit) -> atMost((double) history.grantsAfter(line.number(1)), limit));
+    kinds.put("ends-again", (line, limit) -> atMost(history.endsStoredAgain(), line.number(1)));
     kinds.put("writes", (line, limit) -> atMost(history.writeCount(), line.number(1)));
   }
 
--- a/src/test/java/org/mulleinshift/simulation/StoreHistory.java
+++ b/src/test/java/org/mulleinshift/simulation/StoreHistory.java
@@ -1,7 +1,9 @@
 package org.mulleinshift.simulation;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.mulleinshift.simulation.time.Timeline;
 
 /** Records when leaders' terms began, shards were granted and progress was stored. */
@@ -13,6 +15,8 @@
   private final List<Double> termStarts = new ArrayList<>();
   private final List<Double> grants = new ArrayList<>();
   private final List<Double> progressWrites = new ArrayList<>();
+  private final Set<String> endedJobKeys = new HashSet<>();
+  private int endsStoredAgain;
   private Runnable onTerm = () -> {};
   private int writeCount;
 
@@ -37,6 +41,8 @@
       grants.add(timeline.seconds());
     } else if (key.startsWith("p/") || key.startsWith("l/")) {
       progressWrites.add(timeline.seconds());
+    } else if (key.startsWith("t/") && !endedJobKeys.add(key)) {
+      endsStoredAgain++;
     }
   }
 
@@ -45,6 +51,11 @@
     return writeCount;
   }
 
+  /** How often the end of a job was stored whose end was stored already. */
+  public int endsStoredAgain() {
+    return endsStoredAgain;
+  }
+
   /** Whether a term began between two times, inclusive, in seconds. */
   public boolean termBeganBetween(double from, double to) {
     return termStarts.stream().anyMatch(at -> at >= from && at <= to);
