Drawn scenarios with late answers; a grant's mutation applies a stored grant in one place

A family of drawn scenarios in which shards change hands and tasks are stopped while answers of the store and of controllers arrive after later ones.

--- a/src/main/java/org/mulleinshift/sharding/ShardGrants.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardGrants.java
@@ -161,6 +161,8 @@
   private final class GrantMutation implements TransactionBatcher.Mutation {
     private final ShardView shard;
     private final NodeId owner;
+
+    /** Whether the grant was found stored when its key was read again, so nothing is left to do. */
     private boolean foundStored;
 
     GrantMutation(ShardView shard, NodeId owner) {
@@ -182,7 +184,7 @@
     @Override
     public void onCommitted(Revision revision) {
       shard.setPendingOwner(Optional.empty());
-      onStored(new ShardView.Grant(owner, revision));
+      apply(new ShardView.Grant(owner, revision));
     }
 
     /**
@@ -196,20 +198,21 @@
       }
       Optional<ShardView.Grant> stored =
           item.flatMap(ClusterView::readGrant).map(ShardGrants::toGrant);
-      boolean changed = stored.isPresent() && !stored.equals(shard.grant());
-      if (changed && shard.applyGrant(stored, stored.get().revision(), loop.now())) {
+      if (stored.isPresent() && !stored.equals(shard.grant()) && apply(stored.get())) {
         foundStored = stored.get().owner().equals(owner);
-        onStored(stored.get());
       }
     }
 
-    private void onStored(ShardView.Grant grant) {
-      shard.applyGrant(Optional.of(grant), grant.revision(), loop.now());
-      if (shard.setLastOwner(Optional.of(grant.owner())) && shards.isStored(shard.id())) {
+    private boolean apply(ShardView.Grant stored) {
+      if (!shard.applyGrant(Optional.of(stored), stored.revision(), loop.now())) {
+        return false;
+      }
+      if (shard.setLastOwner(Optional.of(stored.owner())) && shards.isStored(shard.id())) {
         // Not urgent: it is read only after a later failure of several controllers.
         shards.storeWhenIdle(shard);
       }
       shards.notifyChanged();
+      return true;
     }
   }
 }
--- a/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
@@ -76,7 +76,8 @@
         new Entry("drawn-meetings", RandomScenario::overlappingFaultLines),
         new Entry("drawn-further-meetings", RandomScenario::extendedOverlappingFaultLines),
         new Entry("drawn-progress-log", RandomScenario::progressLogLines),
-        new Entry("drawn-cancelled-pairs", RandomScenario::cancelledPairLines));
+        new Entry("drawn-cancelled-pairs", RandomScenario::cancelledPairLines),
+        new Entry("drawn-late-answers", RandomLateAnswers::lines));
   }
 
   /** All scenario files, followed by all random families. */
