--- a/src/main/java/org/mulleinshift/membership/ControllerSession.java
+++ b/src/main/java/org/mulleinshift/membership/ControllerSession.java
@@ -54,6 +54,7 @@
   private final Duration renewInterval;
   private final Runnable confirmCancellations;
   private final Runnable onChange;
+  private final PreviousProcessLeases previousProcess;
   private final OwnershipLease ownership;
   private State state = State.REVOKING_OLD;
   private Optional<LeaseId> lease = Optional.empty();
@@ -89,12 +90,13 @@
     this.renewInterval = renewInterval;
     this.confirmCancellations = confirmCancellations;
     this.onChange = onChange;
+    this.previousProcess = new PreviousProcessLeases(loop, store, self, RETRY_DELAY);
     this.ownership = new OwnershipLease(ttl);
   }
 
   /** Revokes the leases that the previous process left in the store, then opens a session. */
   public void start() {
-    clearLeaderKey();
+    previousProcess.revokeAll(this::acquire);
   }
 
   private void transitionTo(State next) {
@@ -103,52 +105,6 @@
     onChange.run();
   }
 
-  /** Lets a restarted leader free the leader key without waiting for its old lease to expire. */
-  private void clearLeaderKey() {
-    store.get(
-        StoreKeys.LEADER,
-        KeyValueStore.Urgency.URGENT,
-        answer -> {
-          if (answer instanceof ReadResult.Found<KeyValue> found
-              && ClusterView.readLeader(found.value()).node().equals(self)) {
-            revokeOldLease(ClusterView.readLeader(found.value()).lease(), this::clearNodeKey);
-          } else if (answer instanceof ReadResult.Found<KeyValue>
-              || answer instanceof ReadResult.Absent<KeyValue>) {
-            clearNodeKey();
-          } else {
-            loop.after(RETRY_DELAY, this::clearLeaderKey);
-          }
-        });
-  }
-
-  private void clearNodeKey() {
-    store.get(
-        StoreKeys.node(self),
-        KeyValueStore.Urgency.URGENT,
-        answer -> {
-          if (answer instanceof ReadResult.Found<KeyValue> found) {
-            revokeOldLease(ClusterView.readNode(found.value()).lease(), this::acquire);
-          } else if (answer instanceof ReadResult.Absent<KeyValue>) {
-            acquire();
-          } else {
-            loop.after(RETRY_DELAY, this::clearNodeKey);
-          }
-        });
-  }
-
-  private void revokeOldLease(LeaseId old, Runnable next) {
-    store.revokeLease(
-        old,
-        answer -> {
-          if (answer instanceof ReadResult.Found<Boolean>
-              || answer instanceof ReadResult.Absent<Boolean>) {
-            next.run();
-          } else {
-            loop.after(RETRY_DELAY, () -> revokeOldLease(old, next));
-          }
-        });
-  }
-
   private void acquire() {
     transitionTo(State.ACQUIRING);
     MonotonicTime sent = loop.now();
@@ -178,7 +134,7 @@
           } else {
             // If the response was lost the key may exist: starting over finds it and revokes its
             // lease.
-            loop.after(RETRY_DELAY, this::clearNodeKey);
+            loop.after(RETRY_DELAY, () -> previousProcess.revokeSession(this::acquire));
           }
         });
   }
--- a/src/main/java/org/mulleinshift/sharding/CommandPlanner.java
+++ b/src/main/java/org/mulleinshift/sharding/CommandPlanner.java
@@ -65,7 +65,7 @@
    */
   private boolean mayForget(OwnedMachine machine, WorkerHeartbeat.ReportedTask exited) {
     return assignments.isAuthoritativeFor(exited.task().job())
-        && !machine.startMayBeInFlight(exited.task(), exited.attempt());
+        && !machine.commands().mayStart(exited.task(), exited.attempt());
   }
 
   private Duration gracePeriodOf(OwnedTask task) {
--- /dev/null
+++ b/src/main/java/org/mulleinshift/sharding/CommandsInFlight.java
@@ -0,0 +1,63 @@
+package org.mulleinshift.sharding;
+
+import java.util.List;
+import org.mulleinshift.protocol.Attempt;
+import org.mulleinshift.protocol.HeartbeatVersion;
+import org.mulleinshift.protocol.TaskId;
+import org.mulleinshift.protocol.WorkerCommand;
+
+/**
+ * The commands to one worker that are yet to be sent, or may still be on their way: in a direct
+ * message or in the response to a heartbeat.
+ */
+final class CommandsInFlight {
+  private final StartsInResponse startsInResponse = new StartsInResponse();
+  private boolean pending;
+  private boolean directMessageInFlight;
+
+  /** Records that there may be commands that have not been sent. */
+  void markPending() {
+    pending = true;
+  }
+
+  /** Records that all commands known so far are being sent. */
+  void clearPending() {
+    pending = false;
+  }
+
+  /** Whether there may be commands that have not been sent. */
+  boolean isPending() {
+    return pending;
+  }
+
+  /** Records that a direct message is sent; the next one waits until this has ended. */
+  void onDirectMessageSent() {
+    directMessageInFlight = true;
+  }
+
+  /** Records that the direct message was responded to, or that its deadline has passed. */
+  void onDirectMessageEnded() {
+    directMessageInFlight = false;
+  }
+
+  /** Whether a direct message was sent whose response or deadline is still awaited. */
+  boolean isDirectMessageInFlight() {
+    return directMessageInFlight;
+  }
+
+  /** Records the arrival of a heartbeat of the worker. */
+  void onHeartbeat(HeartbeatVersion version) {
+    startsInResponse.onHeartbeat(version);
+  }
+
+  /** Records the commands in the response to a heartbeat: all commands known so far. */
+  void onResponse(List<WorkerCommand> commands) {
+    pending = false;
+    startsInResponse.onResponse(commands);
+  }
+
+  /** Whether a message that starts the attempt may still be on its way. */
+  boolean mayStart(TaskId task, Attempt attempt) {
+    return directMessageInFlight || startsInResponse.contains(task, attempt);
+  }
+}
--- a/src/main/java/org/mulleinshift/sharding/DirectCommandSender.java
+++ b/src/main/java/org/mulleinshift/sharding/DirectCommandSender.java
@@ -54,10 +54,10 @@
    */
   void sendPending() {
     for (OwnedMachine machine : state.machines()) {
-      if (machine.commandsPending()
-          && !machine.directCommandInFlight()
+      if (machine.commands().isPending()
+          && !machine.commands().isDirectMessageInFlight()
           && machine.phase() == MachinePhase.CONFIRMED) {
-        machine.clearCommandsPending();
+        machine.commands().clearPending();
         List<WorkerCommand> commands = planner.commandsFor(machine);
         Optional<InetSocketAddress> address = WorkerAddress.parse(machine.address());
         if (!commands.isEmpty() && address.isPresent()) {
@@ -68,7 +68,7 @@
   }
 
   private void send(OwnedMachine machine, InetSocketAddress address, List<WorkerCommand> commands) {
-    machine.markDirectCommandSent();
+    machine.commands().onDirectMessageSent();
     String body =
         WorkerCodec.writeCommands(
             machine.token(), machine.lastHeartbeatVersion().epoch(), commands);
@@ -79,7 +79,7 @@
   }
 
   private void onReply(OwnedMachine machine, HttpResponse reply) {
-    machine.markDirectCommandEnded();
+    machine.commands().onDirectMessageEnded();
     if (reply.status() == HttpStatus.OK || reply.status() == HttpStatus.CONFLICT) {
       try {
         WorkerHeartbeat report = WorkerCodec.parseHeartbeat(reply.body());
--- a/src/main/java/org/mulleinshift/sharding/HeartbeatReconciler.java
+++ b/src/main/java/org/mulleinshift/sharding/HeartbeatReconciler.java
@@ -155,11 +155,13 @@
       OwnedMachine machine, OwnedTask task, boolean newEpoch, boolean tokenAcknowledged) {
     if (task.phase() != TaskPhase.STARTING || newEpoch) {
       state.markAbsent(task);
-    } else if (task.stopRequested() && tokenAcknowledged && !machine.directCommandInFlight()) {
+    } else if (task.stopRequested()
+        && tokenAcknowledged
+        && !machine.commands().isDirectMessageInFlight()) {
       // It never started, and the worker drops any command to start it under an older token.
       state.finish(task, TaskPhase.STOPPED);
     } else {
-      machine.markCommandsPending();
+      machine.commands().markPending();
     }
   }
 }
--- a/src/main/java/org/mulleinshift/sharding/OwnedMachine.java
+++ b/src/main/java/org/mulleinshift/sharding/OwnedMachine.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.mulleinshift.model.ClusterView.MachineRecord;
-import org.mulleinshift.protocol.Attempt;
 import org.mulleinshift.protocol.FencingToken;
 import org.mulleinshift.protocol.HeartbeatVersion;
 import org.mulleinshift.protocol.JobId;
@@ -16,7 +15,6 @@
 import org.mulleinshift.protocol.Resources;
 import org.mulleinshift.protocol.Revision;
 import org.mulleinshift.protocol.TaskId;
-import org.mulleinshift.protocol.WorkerCommand;
 import org.mulleinshift.protocol.WorkerHeartbeat;
 import org.mulleinshift.protocol.peer.MachineStatus;
 import org.mulleinshift.transport.MonotonicTime;
@@ -32,6 +30,7 @@
   private final MachineId id;
   private final MachineToken token;
   private final ImageCache imageCache = new ImageCache();
+  private final CommandsInFlight commands = new CommandsInFlight();
   private final Map<TaskId, OwnedTask> tasks = new LinkedHashMap<>();
   private MachineRecord record;
   private MachinePhase phase = MachinePhase.UNSEEN;
@@ -51,9 +50,6 @@
 
   private List<WorkerHeartbeat.ReportedTask> appliedEntries = List.of();
   private long appliedBindingChanges = -1;
-  private final StartsInResponse startsInResponse = new StartsInResponse();
-  private boolean directCommandInFlight;
-  private boolean commandsPending;
 
   /**
    * Creates a machine that has sent no heartbeat under this grant.
@@ -142,7 +138,7 @@
   /** Records the arrival of a heartbeat, whether or not this node may respond to it. */
   void markHeartbeatReceived(HeartbeatVersion version, MonotonicTime now) {
     heartbeatReceivedAt = Optional.of(now);
-    startsInResponse.onHeartbeat(version);
+    commands.onHeartbeat(version);
   }
 
   /** When the last heartbeat was received; empty if none was. */
@@ -155,17 +151,6 @@
     lastResponseAt = Optional.of(now);
   }
 
-  /** Records the commands in the response to a heartbeat: all commands known so far. */
-  void markCommandsInResponse(List<WorkerCommand> commands) {
-    commandsPending = false;
-    startsInResponse.onResponse(commands);
-  }
-
-  /** Whether a message that starts the attempt may still be on its way to the worker. */
-  boolean startMayBeInFlight(TaskId task, Attempt attempt) {
-    return directCommandInFlight || startsInResponse.contains(task, attempt);
-  }
-
   /** When a heartbeat was last responded to; empty if none was. */
   Optional<MonotonicTime> lastResponseAt() {
     return lastResponseAt;
@@ -237,6 +222,11 @@
     return id;
   }
 
+  /** The commands to its worker that are yet to be sent, or may still be on their way. */
+  CommandsInFlight commands() {
+    return commands;
+  }
+
   MachineRecord record() {
     return record;
   }
@@ -296,34 +286,4 @@
   String reportedPhase() {
     return hasUnreadableTasks ? OCCUPIED : phase().wireName();
   }
-
-  /** Whether a direct message was sent whose response or deadline is still awaited. */
-  boolean directCommandInFlight() {
-    return directCommandInFlight;
-  }
-
-  /** Records that a direct message is sent; the next one waits until this has ended. */
-  void markDirectCommandSent() {
-    directCommandInFlight = true;
-  }
-
-  /** Records that the direct message was responded to, or that its deadline has passed. */
-  void markDirectCommandEnded() {
-    directCommandInFlight = false;
-  }
-
-  /** Whether there may be commands that have not been sent. */
-  boolean commandsPending() {
-    return commandsPending;
-  }
-
-  /** Records that there may be commands that have not been sent. */
-  void markCommandsPending() {
-    commandsPending = true;
-  }
-
-  /** Records that all commands known so far are being sent. */
-  void clearCommandsPending() {
-    commandsPending = false;
-  }
 }
--- a/src/main/java/org/mulleinshift/sharding/ShardOwner.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardOwner.java
@@ -151,7 +151,7 @@
     placeTasks();
     List<WorkerCommand> commands = commandPlanner.commandsFor(machine);
     String body = WorkerCodec.writeHeartbeatResponse(machine.token(), commands);
-    machine.markCommandsInResponse(commands);
+    machine.commands().onResponse(commands);
     sendDirectCommands();
     return Optional.of(body);
   }
--- a/src/main/java/org/mulleinshift/sharding/ShardState.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardState.java
@@ -190,7 +190,7 @@
       // stop it may arrive first. The higher token makes the worker drop the start command then.
       machine.raiseToken(loop.now());
     }
-    machine.markCommandsPending();
+    machine.commands().markPending();
   }
 
   /** Changes the machine's phase; a confirmed machine does not return to reporting. */
--- a/src/main/java/org/mulleinshift/sharding/TaskPlacer.java
+++ b/src/main/java/org/mulleinshift/sharding/TaskPlacer.java
@@ -121,7 +121,7 @@
     best.get().allocate(task.request());
     state.bind(task, TaskPhase.STARTING, best.get().machine());
     task.confirmPlacement();
-    state.machine(best.get().machine()).orElseThrow().markCommandsPending();
+    state.machine(best.get().machine()).orElseThrow().commands().markPending();
     return true;
   }
 
