Log why commands to workers were allowed, and count what became of them

The records of the incident can't tell why an owner sent a start, a forget or an answer, under which token and session a direct message went out, when a token was raised and why, who led as another controller saw it, and what a controller had read of its grants by then.

Debug: each direct message with token, epoch and commands and how it ended; each answered heartbeat with both tokens and the commands; placements; raises of a token with the reason; reads of the grants and changes received with their revisions. Info: the leader's key when it changes, the own term in changes of the election, and once a minute for each shard with activity the counts of direct messages, of those that were refused or not answered, of raises by reason and of attempts that a worker lists again after it had forgotten them.

No message changes.

--- a/src/main/java/org/mulleinshift/membership/ControllerSession.java
+++ b/src/main/java/org/mulleinshift/membership/ControllerSession.java
@@ -192,6 +192,11 @@
       return;
     }
     grantsRevision = revision;
+    LOG.debug(
+        "grants read, revision={} age_ms={} own={}",
+        revision,
+        loop.now().since(sent).toMillis(),
+        ownGrants);
     boolean changed = !ownGrants.equals(verifiedGrants);
     verifiedGrants = ownGrants;
     if (changed) {
--- a/src/main/java/org/mulleinshift/membership/LeaderElection.java
+++ b/src/main/java/org/mulleinshift/membership/LeaderElection.java
@@ -116,7 +116,8 @@
     State old = state;
     state = next;
     if (old != next) {
-      LOG.info("election state changed, from={} to={}", old, next);
+      LOG.info(
+          "election state changed, from={} to={} own_term={} lease={}", old, next, term, lease);
     }
     if (next == State.LEADING) {
       listener.onElected(term);
--- a/src/main/java/org/mulleinshift/model/ClusterView.java
+++ b/src/main/java/org/mulleinshift/model/ClusterView.java
@@ -184,6 +184,7 @@
   public void apply(String key, Optional<KeyValue> item) {
     if (key.equals(StoreKeys.LEADER)) {
       leader = item.map(LeaderRecord::read);
+      LOG.info("leader key changed, leader={}", leader);
     } else if (key.startsWith(StoreKeys.NODES)) {
       NodeId node = new NodeId(key.substring(StoreKeys.NODES.length()));
       // Without a readable lease the controller gets no shards: no grant could be bound to it.
--- a/src/main/java/org/mulleinshift/sharding/CommandPlanner.java
+++ b/src/main/java/org/mulleinshift/sharding/CommandPlanner.java
@@ -7,6 +7,8 @@
 import org.mulleinshift.protocol.JobId;
 import org.mulleinshift.protocol.WorkerCommand;
 import org.mulleinshift.protocol.WorkerHeartbeat;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Determines the commands that a machine's worker has yet to carry out. */
 final class CommandPlanner {
@@ -16,6 +18,7 @@
    */
   private static final int MAX_COMMANDS_PER_MESSAGE = 200;
 
+  private static final Logger LOG = LoggerFactory.getLogger(CommandPlanner.class);
   private static final int MILLIS_PER_SECOND = 1000;
 
   private final Predicate<JobId> cancelled;
@@ -42,6 +45,7 @@
     for (WorkerHeartbeat.ReportedTask entry : machine.unassignedTasks()) {
       boolean exited = entry.state() == WorkerHeartbeat.TaskState.EXITED;
       if (!exited && assignments.mustStopUnassigned(entry.task().job())) {
+        LOG.debug("attempt not assigned, machine={} attempt={}", machine.id(), entry);
         stops.add(new WorkerCommand.Stop(entry.task(), entry.attempt(), Duration.ZERO));
       } else if (exited && mayForget(machine, entry)) {
         others.add(new WorkerCommand.Forget(entry.task(), entry.attempt()));
--- a/src/main/java/org/mulleinshift/sharding/CommandsInFlight.java
+++ b/src/main/java/org/mulleinshift/sharding/CommandsInFlight.java
@@ -5,6 +5,7 @@
 import org.mulleinshift.protocol.HeartbeatVersion;
 import org.mulleinshift.protocol.TaskId;
 import org.mulleinshift.protocol.WorkerCommand;
+import org.mulleinshift.protocol.WorkerHeartbeat;
 
 /**
  * The commands to one worker that are yet to be sent, or may still be on their way: in a direct
@@ -12,6 +13,7 @@
  */
 final class CommandsInFlight {
   private final StartsInResponse startsInResponse = new StartsInResponse();
+  private final ForgottenAttempts forgottenAttempts = new ForgottenAttempts();
   private boolean pending;
   private boolean directMessageInFlight;
 
@@ -31,8 +33,9 @@
   }
 
   /** Records that a direct message is sent; the next one waits until this has ended. */
-  void onDirectMessageSent() {
+  void onDirectMessageSent(List<WorkerCommand> commands) {
     directMessageInFlight = true;
+    forgottenAttempts.onCommands(commands);
   }
 
   /** Records that the direct message was responded to, or that its deadline has passed. */
@@ -50,10 +53,19 @@
     startsInResponse.onHeartbeat(version);
   }
 
+  /**
+   * Records a report, in a heartbeat or in the response to a direct message, that is newer than all
+   * before; returns the attempts that it lists although the worker had forgotten them.
+   */
+  List<TaskAttempt> onNewerReport(WorkerHeartbeat report) {
+    return forgottenAttempts.onHeartbeat(report);
+  }
+
   /** Records the commands in the response to a heartbeat: all commands known so far. */
   void onResponse(List<WorkerCommand> commands) {
     pending = false;
     startsInResponse.onResponse(commands);
+    forgottenAttempts.onCommands(commands);
   }
 
   /** Whether a message that starts the attempt may still be on its way. */
--- a/src/main/java/org/mulleinshift/sharding/DirectCommandSender.java
+++ b/src/main/java/org/mulleinshift/sharding/DirectCommandSender.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import org.mulleinshift.protocol.FencingToken;
 import org.mulleinshift.protocol.MalformedMessageException;
 import org.mulleinshift.protocol.WorkerCodec;
 import org.mulleinshift.protocol.WorkerCommand;
@@ -68,18 +69,31 @@
   }
 
   private void send(OwnedMachine machine, InetSocketAddress address, List<WorkerCommand> commands) {
-    machine.commands().onDirectMessageSent();
+    machine.commands().onDirectMessageSent(commands);
+    state.commandCounters().onDirectMessage();
+    LOG.debug(
+        "direct message sent, machine={} token={} epoch={} commands={}",
+        machine.id(),
+        machine.token(),
+        machine.lastHeartbeatVersion().epoch(),
+        commands);
+    FencingToken token = machine.token();
     String body =
         WorkerCodec.writeCommands(
             machine.token(), machine.lastHeartbeatVersion().epoch(), commands);
     httpClient.call(
         address,
         HttpRequest.post(WorkerCodec.COMMANDS_PATH, body, COMMAND_TIMEOUT),
-        reply -> onReply(machine, reply));
+        reply -> onReply(machine, token, reply));
   }
 
-  private void onReply(OwnedMachine machine, HttpResponse reply) {
+  private void onReply(OwnedMachine machine, FencingToken token, HttpResponse reply) {
     machine.commands().onDirectMessageEnded();
+    LOG.debug(
+        "direct message ended, machine={} token={} status={}", machine.id(), token, reply.status());
+    if (reply.status() == HttpStatus.CONFLICT) {
+      state.commandCounters().onRefused();
+    }
     if (reply.status() == HttpStatus.OK || reply.status() == HttpStatus.CONFLICT) {
       try {
         WorkerHeartbeat report = WorkerCodec.parseHeartbeat(reply.body());
@@ -93,7 +107,8 @@
     }
     // A worker may still receive the commands minutes later. The higher token makes it drop them;
     // the response to its next heartbeat repeats those that still apply.
-    machine.raiseToken(loop.now());
+    state.commandCounters().onUnanswered();
+    state.raiseToken(machine, TokenRaise.MESSAGE_UNANSWERED);
     state.updateLiveness(machine, liveness.livenessOf(machine, loop.now()));
   }
 
--- a/src/main/java/org/mulleinshift/sharding/HeartbeatReconciler.java
+++ b/src/main/java/org/mulleinshift/sharding/HeartbeatReconciler.java
@@ -47,6 +47,7 @@
       return;
     }
     boolean newEpoch = isNewEpoch(machine, heartbeat);
+    reportListedAgain(machine, heartbeat);
     recordHeartbeat(machine, heartbeat);
     boolean tokenAcknowledged = machine.isTokenAcknowledgedBy(heartbeat);
     state.transition(machine, tokenAcknowledged ? MachinePhase.CONFIRMED : MachinePhase.REPORTING);
@@ -66,11 +67,24 @@
     if (newEpoch && machine.lastHeartbeatVersion().epoch() > 0) {
       LOG.info("worker epoch began, machine={} epoch={}", machine.id(), epoch);
       // Its lease expired although this node responds to it, so it may not receive the responses.
-      machine.raiseToken(loop.now());
+      state.raiseToken(machine, TokenRaise.EPOCH_BEGAN);
     }
     return newEpoch;
   }
 
+  private void reportListedAgain(OwnedMachine machine, WorkerHeartbeat heartbeat) {
+    for (TaskAttempt attempt : machine.commands().onNewerReport(heartbeat)) {
+      state.commandCounters().onListedAgain();
+      LOG.warn(
+          "forgotten attempt listed again, machine={} attempt={} epoch={} token={} worker_token={}",
+          machine.id(),
+          attempt,
+          heartbeat.version().epoch(),
+          machine.token(),
+          heartbeat.highestToken());
+    }
+  }
+
   private void recordHeartbeat(OwnedMachine machine, WorkerHeartbeat heartbeat) {
     boolean interrupted = machine.hasInterruptionNotice();
     machine.onHeartbeat(heartbeat, loop.now());
--- a/src/main/java/org/mulleinshift/sharding/OwnedShards.java
+++ b/src/main/java/org/mulleinshift/sharding/OwnedShards.java
@@ -31,6 +31,7 @@
 public final class OwnedShards {
   private static final Logger LOG = LoggerFactory.getLogger(OwnedShards.class);
   private static final Duration TICK_INTERVAL = Duration.ofMillis(250);
+  private static final Duration COUNTS_LOG_INTERVAL = Duration.ofMinutes(1);
   private static final int MALFORMED_PER_LOG_LINE = 100;
 
   /**
@@ -92,9 +93,15 @@
   public void start() {
     reachability.start();
     loop.after(TICK_INTERVAL, this::tick);
+    loop.after(COUNTS_LOG_INTERVAL, this::logCommandCounts);
     statusPublisher.start();
   }
 
+  private void logCommandCounts() {
+    loop.after(COUNTS_LOG_INTERVAL, this::logCommandCounts);
+    owners.values().forEach(ShardOwner::logCommandCounts);
+  }
+
   private void tick() {
     loop.after(TICK_INTERVAL, this::tick);
     if (!owners.isEmpty()) {
--- a/src/main/java/org/mulleinshift/sharding/ShardOwner.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardOwner.java
@@ -19,6 +19,8 @@
 import org.mulleinshift.settings.PlatformSettings;
 import org.mulleinshift.transport.AsyncHttpClient;
 import org.mulleinshift.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Owns a shard under one grant: responds to the heartbeats of its machines, places the tasks
@@ -26,6 +28,8 @@
  * only once that is certain.
  */
 public final class ShardOwner {
+  private static final Logger LOG = LoggerFactory.getLogger(ShardOwner.class);
+
   /**
    * What an owner needs of its node.
    *
@@ -152,6 +156,14 @@
     List<WorkerCommand> commands = commandPlanner.commandsFor(machine);
     String body = WorkerCodec.writeHeartbeatResponse(machine.token(), commands);
     machine.commands().onResponse(commands);
+    LOG.debug(
+        "heartbeat answered, machine={} grant={} version={} worker_token={} token={} commands={}",
+        machine.id(),
+        grant,
+        heartbeat.version(),
+        heartbeat.highestToken(),
+        machine.token(),
+        commands);
     sendDirectCommands();
     return Optional.of(body);
   }
@@ -171,6 +183,11 @@
     placeAndSend();
   }
 
+  /** Logs how many commands were sent, refused and unanswered; called once in a while. */
+  void logCommandCounts() {
+    state.commandCounters().logIfChanged();
+  }
+
   /** Handles the end of a pause of this process, during which it received nothing. */
   void onProcessPause() {
     liveness.onProcessPause();
--- a/src/main/java/org/mulleinshift/sharding/ShardState.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardState.java
@@ -18,6 +18,8 @@
 import org.mulleinshift.protocol.ShardId;
 import org.mulleinshift.protocol.TaskId;
 import org.mulleinshift.transport.EventLoop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The machines of an owned shard and the tasks assigned to it. All changes are made through this
@@ -25,6 +27,8 @@
  * consistent.
  */
 final class ShardState {
+  private static final Logger LOG = LoggerFactory.getLogger(ShardState.class);
+
   private final EventLoop loop;
   private final Revision grant;
   private final Runnable onStatusChange;
@@ -32,6 +36,7 @@
   private final Map<TaskId, OwnedTask> tasks = new LinkedHashMap<>();
   private final Set<OwnedTask> unplacedTasks = new LinkedHashSet<>();
   private final ShardStatusReporter statusReporter;
+  private final WorkerCommandCounters commandCounters;
   private Revision appliedRevision = new Revision(0);
 
   /**
@@ -45,12 +50,17 @@
     this.grant = grant;
     this.onStatusChange = onStatusChange;
     this.statusReporter = new ShardStatusReporter(loop, id, grant, machines, tasks, onStatusChange);
+    this.commandCounters = new WorkerCommandCounters(id);
   }
 
   ShardStatusReporter statusReporter() {
     return statusReporter;
   }
 
+  WorkerCommandCounters commandCounters() {
+    return commandCounters;
+  }
+
   /** All machines, ordered by id. */
   Collection<OwnedMachine> machines() {
     return machines.values();
@@ -188,11 +198,18 @@
     if (task.phase() == TaskPhase.STARTING) {
       // The command to start it may be in flight in the response to a heartbeat, and the command to
       // stop it may arrive first. The higher token makes the worker drop the start command then.
-      machine.raiseToken(loop.now());
+      raiseToken(machine, TokenRaise.STOP_OF_STARTING_TASK);
     }
     machine.commands().markPending();
   }
 
+  /** Raises the machine's token, so that its worker drops commands under the old one. */
+  void raiseToken(OwnedMachine machine, TokenRaise reason) {
+    machine.raiseToken(loop.now());
+    commandCounters.onTokenRaised(reason);
+    LOG.debug("token raised, machine={} token={} reason={}", machine.id(), machine.token(), reason);
+  }
+
   /** Changes the machine's phase; a confirmed machine does not return to reporting. */
   void transition(OwnedMachine machine, MachinePhase next) {
     if (machine.phase() == MachinePhase.CONFIRMED && next == MachinePhase.REPORTING) {
--- a/src/main/java/org/mulleinshift/sharding/StartsInResponse.java
+++ b/src/main/java/org/mulleinshift/sharding/StartsInResponse.java
@@ -17,9 +17,7 @@
  * messages show nothing of that kind.
  */
 final class StartsInResponse {
-  private record StartedAttempt(TaskId task, Attempt attempt) {}
-
-  private final Set<StartedAttempt> attempts = new HashSet<>();
+  private final Set<TaskAttempt> attempts = new HashSet<>();
   private HeartbeatVersion newestHeartbeat = HeartbeatVersion.NONE;
 
   /** Records the arrival of a heartbeat; late copies, which are older, change nothing. */
@@ -34,13 +32,13 @@
   void onResponse(List<WorkerCommand> commands) {
     for (WorkerCommand command : commands) {
       if (command instanceof WorkerCommand.Run run) {
-        attempts.add(new StartedAttempt(run.task(), run.attempt()));
+        attempts.add(new TaskAttempt(run.task(), run.attempt()));
       }
     }
   }
 
   /** Whether a response that starts the attempt may still be on its way. */
   boolean contains(TaskId task, Attempt attempt) {
-    return attempts.contains(new StartedAttempt(task, attempt));
+    return attempts.contains(new TaskAttempt(task, attempt));
   }
 }
--- a/src/main/java/org/mulleinshift/sharding/TaskPlacer.java
+++ b/src/main/java/org/mulleinshift/sharding/TaskPlacer.java
@@ -21,9 +21,13 @@
 import org.mulleinshift.protocol.ZoneId;
 import org.mulleinshift.transport.EventLoop;
 import org.mulleinshift.transport.MonotonicTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Chooses a machine for each unplaced task of a shard. */
 final class TaskPlacer {
+  private static final Logger LOG = LoggerFactory.getLogger(TaskPlacer.class);
+
   /** A task that fits on no machine for this long is reported to the leader as rejected. */
   private static final Duration PLACEMENT_TIMEOUT = Duration.ofSeconds(4);
 
@@ -119,6 +123,12 @@
       return false;
     }
     best.get().allocate(task.request());
+    LOG.debug(
+        "task placed, task={} attempt={} machine={} assigned_under_current_grant={}",
+        task.id(),
+        task.attempt(),
+        best.get().machine(),
+        task.assignedUnderCurrentGrant());
     state.bind(task, TaskPhase.STARTING, best.get().machine());
     task.confirmPlacement();
     state.machine(best.get().machine()).orElseThrow().commands().markPending();
--- /dev/null
+++ b/src/main/java/org/mulleinshift/sharding/TokenRaise.java
@@ -0,0 +1,11 @@
+package org.mulleinshift.sharding;
+
+/** Why an owner raises the fencing token of a machine within a grant. */
+enum TokenRaise {
+  /** A direct message was not answered and may be carried out late. */
+  MESSAGE_UNANSWERED,
+  /** The worker's lease expired although its heartbeats were responded to. */
+  EPOCH_BEGAN,
+  /** A task is stopped whose start command may be on its way. */
+  STOP_OF_STARTING_TASK
+}
--- a/src/main/java/org/mulleinshift/store/PrefixWatcher.java
+++ b/src/main/java/org/mulleinshift/store/PrefixWatcher.java
@@ -13,12 +13,16 @@
 import org.mulleinshift.protocol.StoreCodec.KeyValue;
 import org.mulleinshift.transport.EventLoop;
 import org.mulleinshift.transport.MonotonicTime;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Reports every change of the keys with a prefix to a listener: reads all keys once, then watches
  * for changes, and reads all keys again if the store no longer has the changes that it missed.
  */
 public final class PrefixWatcher {
+  private static final Logger LOG = LoggerFactory.getLogger(PrefixWatcher.class);
+
   /** States of the watcher. */
   public enum State {
     /** Not started. */
@@ -267,6 +271,13 @@
   }
 
   private void apply(StoreCodec.Changes changes, MonotonicTime requestedAt) {
+    LOG.debug(
+        "changes received, prefix={} known={} revision={} changes={} age_ms={}",
+        prefix,
+        revision,
+        changes.revision(),
+        changes.changes().size(),
+        loop.now().since(requestedAt).toMillis());
     for (StoreCodec.Change change : changes.changes()) {
       if (!isAlreadyApplied(change)) {
         apply(change);
