The simulated network delivers copies of direct messages that were carried out

A scenario could copy heartbeats only, so no play showed what happens when a direct message to a worker arrives a second time after it was answered, as in the incident.

'copies-commands SHARE FROM TO SECONDS' delivers a share of the messages that a worker carries out once more, and discards the answer. It is no fault for the checks that begin after the last fault: a copy must have no effect at any time.

--- a/src/test/java/org/mulleinshift/scenario/NetworkCommands.java
+++ b/src/test/java/org/mulleinshift/scenario/NetworkCommands.java
@@ -10,6 +10,9 @@
 
 /** Commands that lose, delay and duplicate messages. */
 final class NetworkCommands {
+  /** The command that delivers copies of direct messages to workers. */
+  static final String COPIES_COMMANDS = "copies-commands";
+
   private final SimulatedCluster cluster;
 
   NetworkCommands(ScenarioContext context, CommandTable table) {
@@ -25,6 +28,15 @@
         "copies",
         line -> duplicates.duplicateDuring(line.number(THIRD), line.number(1), line.number(2)));
     table.addFault("copies-kept", line -> duplicates.keepDuring(line.number(1)));
+    // No fault: a copy of what was carried out and answered must have no effect at any time.
+    table.add(COPIES_COMMANDS, this::copyCommands);
+  }
+
+  /** {@code copies-commands SHARE FROM TO SECONDS}. */
+  private void copyCommands(ScenarioLine line) {
+    cluster
+        .commandCopies()
+        .copyDuring(line.number(FOURTH), line.number(1), line.number(2), line.number(THIRD));
   }
 
   /** The hosts in a line; roles such as the leader are resolved when the line is executed. */
--- a/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BiFunction;
 import java.util.function.LongFunction;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -22,6 +23,11 @@
    * @param lines the scenario's lines for a seed; the same for all seeds if it is a file
    */
   public record Entry(String name, LongFunction<List<String>> lines) {
+    /** The same scenario with other lines; {@code change} gets the seed and its lines. */
+    Entry mapLines(BiFunction<Long, List<String>, List<String>> change) {
+      return new Entry(name, seed -> change.apply(seed, lines.apply(seed)));
+    }
+
     /** The additional seeds that a scenario file names; none for a random family. */
     LongStream namedSeeds() {
       return lines.apply(0).stream()
@@ -70,14 +76,15 @@
 
   /** The families of scenarios that are generated from a seed. */
   public static List<Entry> randomFamilies() {
-    return List.of(
-        new Entry("drawn", RandomScenario::lines),
-        new Entry("drawn-chains", RandomScenario::pipelineLines),
-        new Entry("drawn-meetings", RandomScenario::overlappingFaultLines),
-        new Entry("drawn-further-meetings", RandomScenario::extendedOverlappingFaultLines),
-        new Entry("drawn-progress-log", RandomScenario::progressLogLines),
-        new Entry("drawn-cancelled-pairs", RandomScenario::cancelledPairLines),
-        new Entry("drawn-late-answers", RandomLateAnswers::lines));
+    return Stream.of(
+            new Entry("drawn", RandomScenario::lines),
+            new Entry("drawn-chains", RandomScenario::pipelineLines),
+            new Entry("drawn-meetings", RandomScenario::overlappingFaultLines),
+            new Entry("drawn-further-meetings", RandomScenario::extendedOverlappingFaultLines),
+            new Entry("drawn-progress-log", RandomScenario::progressLogLines),
+            new Entry("drawn-cancelled-pairs", RandomScenario::cancelledPairLines),
+            new Entry("drawn-late-answers", RandomLateAnswers::lines))
+        .toList();
   }
 
   /** All scenario files, followed by all random families. */
--- a/src/test/java/org/mulleinshift/scenario/ScenarioSeeds.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioSeeds.java
@@ -35,6 +35,11 @@
   @Option(names = "--threads", description = "Scenarios run in parallel.")
   private int threads = 4;
 
+  @Option(
+      names = "--copy-commands",
+      description = "This share of direct messages arrives again after it was carried out.")
+  private double copiedShare;
+
   @Option(
       names = "--log",
       description = "Print the log with virtual times; LOG_LEVEL sets the level.")
@@ -83,7 +88,11 @@
     if (chosen.isEmpty()) {
       throw new IllegalArgumentException("no scenario selected, prefixes=" + prefixes);
     }
-    return chosen;
+    return copiedShare > 0 ? chosen.stream().map(this::withCopies).toList() : chosen;
+  }
+
+  private ScenarioCatalog.Entry withCopies(ScenarioCatalog.Entry scenario) {
+    return scenario.mapLines((seed, lines) -> CopiedCommands.with(copiedShare, lines));
   }
 
   private ScenarioRuns submit(ScenarioCatalog.Entry scenario, ExecutorService pool) {
--- a/src/test/java/org/mulleinshift/simulation/SimulatedCluster.java
+++ b/src/test/java/org/mulleinshift/simulation/SimulatedCluster.java
@@ -42,6 +42,7 @@
   private final SimulatedStore store;
   private final SimulatedCloud cloud;
   private final DelayedDuplicates duplicates;
+  private final DelayedCommandCopies commandCopies;
   private final List<SimulatedController> controllers = new ArrayList<>();
   private final Map<String, SimulatedUser> users = new HashMap<>();
   private final ControllerTransport transport = new NetworkTransport();
@@ -59,6 +60,7 @@
     this.store = new SimulatedStore(timeline, storeLimits);
     this.cloud = new SimulatedCloud(timeline, LISTING_LAG_SECONDS, this::startWorker);
     this.duplicates = new DelayedDuplicates(timeline, controllers);
+    this.commandCopies = new DelayedCommandCopies(timeline, this::deliverToWorker);
     store.history().onTermStart(duplicates::deliverKept);
     checker.tasks().jobEndStoredWhen(store::isEnded);
   }
@@ -95,6 +97,11 @@
     return duplicates;
   }
 
+  /** The fault that delivers copies of controllers' direct messages to workers late. */
+  public DelayedCommandCopies commandCopies() {
+    return commandCopies;
+  }
+
   /** All controllers, running or not; a live view. */
   public List<SimulatedController> controllers() {
     return controllers;
@@ -169,6 +176,13 @@
                 response -> network.deliver(label, USERS, () -> reply.accept(response))));
   }
 
+  private void deliverToWorker(
+      InetSocketAddress target, HttpRequest request, Consumer<HttpResponse> reply) {
+    cloud
+        .workerAt(target.getHostString() + ":" + target.getPort())
+        .ifPresent(worker -> worker.handle(request, reply));
+  }
+
   /** Sends controllers' messages over the simulated network. */
   private final class NetworkTransport implements ControllerTransport {
     @Override
@@ -201,9 +215,13 @@
       } else if (target.equals(CLOUD_ADDRESS)) {
         cloud.handle(request, reply);
       } else {
-        cloud
-            .workerAt(target.getHostString() + ":" + target.getPort())
-            .ifPresent(worker -> worker.handle(request, reply));
+        deliverToWorker(
+            target,
+            request,
+            response -> {
+              commandCopies.onAnswered(target, request, response);
+              reply.accept(response);
+            });
       }
     }
 
