A task that a report misses is lost only once its worker refuses copies of its start

Cause: the absence of a task from a report counted as its end in the same epoch too, although the worker had been given the very token under which the task had been started. What the restart took away besides (ended attempts that were never forgotten) was not fenced at all, and a worker whose reports look like late copies got no token until its lease had ended.

Change: a missing task counts as absent only if the report shows a higher token than every message that may start it, or a later epoch; the token is raised when a report misses an attempt that the current one may start. A task that this owner has not started was started under an earlier grant, so the first token of the grant is enough. A worker that knows no token of the grant any more gets a higher one with the answer to its report, or in a direct message without commands where the report may be a late copy and must not be answered.

Why it works: what was sent before has a lower token than the one that the worker shows. What reaches a machine before its first report after a restart, nobody can prevent: it refuses nothing.

--- a/src/main/java/org/mulleinshift/sharding/CommandsInFlight.java
+++ b/src/main/java/org/mulleinshift/sharding/CommandsInFlight.java
@@ -1,7 +1,6 @@
 package org.mulleinshift.sharding;
 
 import java.util.List;
-import java.util.Set;
 import org.mulleinshift.protocol.Attempt;
 import org.mulleinshift.protocol.FencingToken;
 import org.mulleinshift.protocol.HeartbeatVersion;
@@ -78,9 +77,9 @@
     return startTokens.isFenced(attempt, received, current);
   }
 
-  /** Drops what is known of the starts of all attempts but these. */
-  void forgetStartsExcept(Set<TaskAttempt> attempts) {
-    startTokens.retainOnly(attempts);
+  /** The starts of attempts that the worker may know or be told to start again. */
+  StartTokens startTokens() {
+    return startTokens;
   }
 
   /**
--- a/src/main/java/org/mulleinshift/sharding/DirectCommandSender.java
+++ b/src/main/java/org/mulleinshift/sharding/DirectCommandSender.java
@@ -62,25 +62,30 @@
         List<WorkerCommand> commands = planner.commandsFor(machine);
         Optional<InetSocketAddress> address = WorkerAddress.parse(machine.address());
         if (!commands.isEmpty() && address.isPresent()) {
-          send(machine, address.get(), commands);
+          send(machine, address.get(), machine.lastHeartbeatVersion().epoch(), commands);
         }
       }
     }
   }
 
-  private void send(OwnedMachine machine, InetSocketAddress address, List<WorkerCommand> commands) {
+  /** Sends the machine's token without commands to the worker that sent the heartbeat. */
+  void sendToken(OwnedMachine machine, WorkerHeartbeat heartbeat) {
+    WorkerAddress.parse(heartbeat.address())
+        .ifPresent(address -> send(machine, address, heartbeat.version().epoch(), List.of()));
+  }
+
+  private void send(
+      OwnedMachine machine, InetSocketAddress address, long epoch, List<WorkerCommand> commands) {
     machine.commands().onDirectMessageSent(commands, machine.token());
     state.commandCounters().onDirectMessage();
     LOG.debug(
         "direct message sent, machine={} token={} epoch={} commands={}",
         machine.id(),
         machine.token(),
-        machine.lastHeartbeatVersion().epoch(),
+        epoch,
         commands);
     FencingToken token = machine.token();
-    String body =
-        WorkerCodec.writeCommands(
-            machine.token(), machine.lastHeartbeatVersion().epoch(), commands);
+    String body = WorkerCodec.writeCommands(machine.token(), epoch, commands);
     httpClient.call(
         address,
         HttpRequest.post(WorkerCodec.COMMANDS_PATH, body, COMMAND_TIMEOUT),
--- a/src/main/java/org/mulleinshift/sharding/HeartbeatReconciler.java
+++ b/src/main/java/org/mulleinshift/sharding/HeartbeatReconciler.java
@@ -54,12 +54,31 @@
     Set<TaskId> reportedAssigned = applyTasks(machine, heartbeat);
     for (OwnedTask task : machine.tasks()) {
       if (!reportedAssigned.contains(task.id())) {
-        onTaskMissing(machine, task, newEpoch, tokenAcknowledged);
+        onTaskMissing(machine, task, heartbeat, newEpoch);
       }
     }
+    fenceMissingAttempts(machine, heartbeat, newEpoch);
     machine.markApplied(heartbeat);
   }
 
+  /**
+   * Raises the token if the worker no longer knows an attempt that a message under the current one
+   * may start again. Commands that were sent in an earlier epoch are refused in any case.
+   */
+  private void fenceMissingAttempts(
+      OwnedMachine machine, WorkerHeartbeat heartbeat, boolean newEpoch) {
+    StartTokens starts = machine.commands().startTokens();
+    Set<TaskAttempt> accountedFor = machine.attemptsAccountedFor(heartbeat);
+    if (newEpoch) {
+      starts.retainOnly(accountedFor);
+      return;
+    }
+    starts
+        .onReport(accountedFor, heartbeat.highestToken())
+        .filter(token -> token.compareTo(machine.token()) >= 0)
+        .ifPresent(token -> state.raiseToken(machine, TokenRaise.ATTEMPT_MISSING));
+  }
+
   /** Whether the worker began a new epoch: no task of the previous one runs any more. */
   private boolean isNewEpoch(OwnedMachine machine, WorkerHeartbeat heartbeat) {
     long epoch = heartbeat.version().epoch();
@@ -166,11 +185,15 @@
 
   /** Handles a task that is bound to the machine, but missing from its newest heartbeat. */
   private void onTaskMissing(
-      OwnedMachine machine, OwnedTask task, boolean newEpoch, boolean tokenAcknowledged) {
-    if (task.phase() != TaskPhase.STARTING || newEpoch) {
+      OwnedMachine machine, OwnedTask task, WorkerHeartbeat heartbeat, boolean newEpoch) {
+    if (newEpoch) {
       state.markAbsent(task);
+    } else if (task.phase() != TaskPhase.STARTING) {
+      if (machine.isCertainlyAbsent(task, heartbeat.highestToken())) {
+        state.markAbsent(task);
+      }
     } else if (task.stopRequested()
-        && tokenAcknowledged
+        && machine.isTokenAcknowledgedBy(heartbeat)
         && !machine.commands().isDirectMessageInFlight()) {
       // It never started, and the worker drops any command to start it under an older token.
       state.finish(task, TaskPhase.STOPPED);
--- a/src/main/java/org/mulleinshift/sharding/MachineToken.java
+++ b/src/main/java/org/mulleinshift/sharding/MachineToken.java
@@ -14,12 +14,14 @@
   /** Low-order bits that count raises on one machine; the bits above them hold the grant. */
   private static final int LOCAL_BITS = 20;
 
+  private final FencingToken first;
   private FencingToken value;
   private Optional<MonotonicTime> unacknowledgedSince = Optional.empty();
 
   /** Creates the first token of a grant. */
   MachineToken(Revision grant) {
-    this.value = first(grant);
+    this.first = first(grant);
+    this.value = first;
   }
 
   /** The first token of a grant. It rises with every grant because the store's revisions do. */
@@ -32,6 +34,11 @@
     return token.value() >> LOCAL_BITS == grant.value();
   }
 
+  /** The first token of the grant. */
+  FencingToken first() {
+    return first;
+  }
+
   FencingToken value() {
     return value;
   }
--- a/src/main/java/org/mulleinshift/sharding/OwnedMachine.java
+++ b/src/main/java/org/mulleinshift/sharding/OwnedMachine.java
@@ -121,12 +121,37 @@
     token.onReported(heartbeat.highestToken());
   }
 
+  /**
+   * Whether a worker that does not list a task, and has received the token, can't start it any more
+   * either. A task that this owner has not started was started under an earlier grant.
+   */
+  boolean isCertainlyAbsent(OwnedTask task, FencingToken received) {
+    return commands
+        .startTokens()
+        .find(new TaskAttempt(task.id(), task.attempt()))
+        .map(started -> started.compareTo(received) < 0)
+        .orElse(token.first().compareTo(received) <= 0);
+  }
+
+  /** The attempts that the heartbeat lists, and those that may be yet to start. */
+  Set<TaskAttempt> attemptsAccountedFor(WorkerHeartbeat heartbeat) {
+    Set<TaskAttempt> attempts = new HashSet<>();
+    heartbeat.tasks().forEach(entry -> attempts.add(TaskAttempt.of(entry)));
+    for (OwnedTask task : tasks.values()) {
+      if (task.phase() == TaskPhase.STARTING) {
+        attempts.add(new TaskAttempt(task.id(), task.attempt()));
+      }
+    }
+    return attempts;
+  }
+
+  /** Whether a worker that had received a token of the grant reports that it knows none. */
+  boolean hasLostToken(WorkerHeartbeat heartbeat) {
+    return phase == MachinePhase.CONFIRMED && heartbeat.highestToken().compareTo(token.first()) < 0;
+  }
+
   /** Records that all tasks in the heartbeat have been applied. */
   void markApplied(WorkerHeartbeat heartbeat) {
-    Set<TaskAttempt> known = new HashSet<>();
-    heartbeat.tasks().forEach(entry -> known.add(TaskAttempt.of(entry)));
-    tasks.values().forEach(task -> known.add(new TaskAttempt(task.id(), task.attempt())));
-    commands.forgetStartsExcept(known);
     appliedEntries = heartbeat.tasks();
     appliedBindingChanges = bindingChanges;
   }
--- a/src/main/java/org/mulleinshift/sharding/ShardOwner.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardOwner.java
@@ -135,6 +135,9 @@
 
   private Optional<String> respondTo(OwnedMachine machine, WorkerHeartbeat heartbeat) {
     if (machine.isDelayedDuplicate(heartbeat, loop.now())) {
+      if (machine.hasLostToken(heartbeat)) {
+        fenceRestartedWorker(machine, heartbeat);
+      }
       return Optional.empty();
     }
     // Even without a response, the heartbeat shows that its worker is alive and reaches this node.
@@ -150,6 +153,9 @@
       }
       machine.adoptToken(heartbeat.highestToken());
     }
+    if (machine.hasLostToken(heartbeat)) {
+      state.raiseTokenInResponse(machine, TokenRaise.WORKER_RESTARTED);
+    }
     reconciler.apply(machine, heartbeat);
     machine.markResponded(loop.now());
     placeTasks();
@@ -171,6 +177,17 @@
     return Optional.of(body);
   }
 
+  /**
+   * Gives a worker a token although its heartbeat may not be responded to: it may be a delayed
+   * copy, and a response would renew the lease of a worker that is still to be found dead.
+   */
+  private void fenceRestartedWorker(OwnedMachine machine, WorkerHeartbeat heartbeat) {
+    if (mayAct() && !machine.commands().isDirectMessageInFlight()) {
+      state.raiseToken(machine, TokenRaise.WORKER_RESTARTED);
+      directCommands.sendToken(machine, heartbeat);
+    }
+  }
+
   private void onDirectReport(OwnedMachine machine, WorkerHeartbeat report) {
     reconciler.apply(machine, report);
     placeAndSend();
--- a/src/main/java/org/mulleinshift/sharding/StartTokens.java
+++ b/src/main/java/org/mulleinshift/sharding/StartTokens.java
@@ -1,8 +1,10 @@
 package org.mulleinshift.sharding;
 
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.mulleinshift.protocol.FencingToken;
 import org.mulleinshift.protocol.WorkerCommand;
@@ -35,7 +37,38 @@
     return tokens.computeIfAbsent(attempt, unknown -> current).compareTo(received) < 0;
   }
 
-  /** Keeps only the starts of these attempts. */
+  /** The highest token of a message of this owner that may start the attempt; empty if none may. */
+  Optional<FencingToken> find(TaskAttempt attempt) {
+    return Optional.ofNullable(tokens.get(attempt));
+  }
+
+  /**
+   * Applies a report: drops what is known of the attempts that the worker neither lists nor can
+   * start any more.
+   *
+   * @param accountedFor the attempts that are listed, or that the worker may not have received yet
+   * @param received the token that the worker has received
+   * @return the highest token of a message that may start another attempt; empty if none may
+   */
+  Optional<FencingToken> onReport(Set<TaskAttempt> accountedFor, FencingToken received) {
+    Optional<FencingToken> highest = Optional.empty();
+    Iterator<Map.Entry<TaskAttempt, FencingToken>> starts = tokens.entrySet().iterator();
+    while (starts.hasNext()) {
+      Map.Entry<TaskAttempt, FencingToken> start = starts.next();
+      if (accountedFor.contains(start.getKey())) {
+        continue;
+      }
+      FencingToken token = start.getValue();
+      if (token.compareTo(received) < 0) {
+        starts.remove();
+      } else if (highest.isEmpty() || token.compareTo(highest.get()) > 0) {
+        highest = Optional.of(token);
+      }
+    }
+    return highest;
+  }
+
+  /** Keeps only the starts of these attempts: the worker's new epoch rules out all others. */
   void retainOnly(Set<TaskAttempt> attempts) {
     tokens.keySet().retainAll(attempts);
   }
--- a/src/main/java/org/mulleinshift/sharding/TokenRaise.java
+++ b/src/main/java/org/mulleinshift/sharding/TokenRaise.java
@@ -8,8 +8,10 @@
   EPOCH_BEGAN,
   /** Attempts are to be forgotten that a copy of their start command would start again. */
   FORGET,
-  /** A task is missing from a report, and a copy of its start command would start it again. */
-  TASK_MISSING,
+  /** A worker no longer knows an attempt that a copy of its start command would start again. */
+  ATTEMPT_MISSING,
+  /** A worker knows no token of the grant any more: its machine has restarted. */
+  WORKER_RESTARTED,
   /** A task is stopped whose start command may be on its way. */
   STOP_OF_STARTING_TASK
 }
--- a/src/test/java/org/mulleinshift/sharding/StartTokensTest.java
+++ b/src/test/java/org/mulleinshift/sharding/StartTokensTest.java
@@ -52,6 +52,7 @@
   void directMessageUnderTheTokenOfTheStartCarriesNoForget() throws MalformedMessageException {
     startAndFail();
     fixture.assign(3, 1, Origin.FRESH);
+    answerLastDirectMessage(4, FAILED);
 
     String direct = fixture.lastDirectMessage().body();
 
