--- a/src/test/java/org/mulleinshift/scenario/CopiedCommands.java
+++ b/src/test/java/org/mulleinshift/scenario/CopiedCommands.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.random.RandomGenerator;
 import java.util.random.RandomGeneratorFactory;
+import org.mulleinshift.simulation.DelayedCopies;
 
 /**
  * Adds to a scenario that some of the direct messages that workers have carried out and answered
@@ -25,12 +26,17 @@
 
   /** The lines, with a share of the messages copied, each up to well over a lease late. */
   static List<String> with(double share, List<String> lines) {
+    return with(DelayedCopies.Kind.COMMANDS, share, lines);
+  }
+
+  /** The lines, with a share of the messages of a kind copied. */
+  static List<String> with(DelayedCopies.Kind kind, double share, List<String> lines) {
     List<String> added = new ArrayList<>(lines);
     added.add(
         String.format(
             Locale.ROOT,
             "at 0 %s %.3f %.1f %.1f %.0f",
-            NetworkCommands.COPIES_COMMANDS,
+            NetworkCommands.nameOfCopies(kind),
             share,
             MIN_DELAY_SECONDS,
             MAX_DELAY_SECONDS,
--- a/src/test/java/org/mulleinshift/scenario/NetworkCommands.java
+++ b/src/test/java/org/mulleinshift/scenario/NetworkCommands.java
@@ -4,15 +4,13 @@
 import static org.mulleinshift.scenario.ScenarioLine.THIRD;
 
 import java.util.Locale;
+import org.mulleinshift.simulation.DelayedCopies;
 import org.mulleinshift.simulation.DelayedDuplicates;
 import org.mulleinshift.simulation.SimulatedCluster;
 import org.mulleinshift.simulation.SimulatedNetwork;
 
 /** Commands that lose, delay and duplicate messages. */
 final class NetworkCommands {
-  /** The command that delivers copies of direct messages to workers. */
-  static final String COPIES_COMMANDS = "copies-commands";
-
   private final SimulatedCluster cluster;
 
   NetworkCommands(ScenarioContext context, CommandTable table) {
@@ -29,13 +27,20 @@
         line -> duplicates.duplicateDuring(line.number(THIRD), line.number(1), line.number(2)));
     table.addFault("copies-kept", line -> duplicates.keepDuring(line.number(1)));
     // No fault: a copy of what was carried out and answered must have no effect at any time.
-    table.add(COPIES_COMMANDS, this::copyCommands);
+    for (DelayedCopies.Kind kind : DelayedCopies.Kind.values()) {
+      table.add(nameOfCopies(kind), line -> copy(kind, line));
+    }
+  }
+
+  /** The command that delivers copies of the messages of a kind. */
+  static String nameOfCopies(DelayedCopies.Kind kind) {
+    return "copies-" + kind.name().toLowerCase(Locale.ROOT);
   }
 
-  /** {@code copies-commands SHARE FROM TO SECONDS}. */
-  private void copyCommands(ScenarioLine line) {
+  /** {@code copies-KIND SHARE FROM TO SECONDS}. */
+  private void copy(DelayedCopies.Kind kind, ScenarioLine line) {
     cluster
-        .commandCopies()
+        .copies(kind)
         .copyDuring(line.number(FOURTH), line.number(1), line.number(2), line.number(THIRD));
   }
 
--- a/src/test/java/org/mulleinshift/scenario/ScenarioSeeds.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioSeeds.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import org.mulleinshift.settings.SettingsException;
+import org.mulleinshift.simulation.DelayedCopies;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -36,10 +37,13 @@
   private int threads = 4;
 
   @Option(
-      names = "--copy-commands",
-      description = "This share of direct messages arrives again after it was carried out.")
+      names = "--copy",
+      description = "This share of the messages of --kind arrives again after it was carried out.")
   private double copiedShare;
 
+  @Option(names = "--kind", description = "What is copied: ${COMPLETION-CANDIDATES}.")
+  private DelayedCopies.Kind copiedKind = DelayedCopies.Kind.COMMANDS;
+
   @Option(
       names = "--log",
       description = "Print the log with virtual times; LOG_LEVEL sets the level.")
@@ -92,7 +96,7 @@
   }
 
   private ScenarioCatalog.Entry withCopies(ScenarioCatalog.Entry scenario) {
-    return scenario.mapLines((seed, lines) -> CopiedCommands.with(copiedShare, lines));
+    return scenario.mapLines((seed, lines) -> CopiedCommands.with(copiedKind, copiedShare, lines));
   }
 
   private ScenarioRuns submit(ScenarioCatalog.Entry scenario, ExecutorService pool) {
--- a/src/test/java/org/mulleinshift/simulation/SimulatedCluster.java
+++ b/src/test/java/org/mulleinshift/simulation/SimulatedCluster.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,7 +43,8 @@
   private final SimulatedStore store;
   private final SimulatedCloud cloud;
   private final DelayedDuplicates duplicates;
-  private final DelayedCommandCopies commandCopies;
+  private final Map<DelayedCopies.Kind, DelayedCopies> copies =
+      new EnumMap<>(DelayedCopies.Kind.class);
   private final List<SimulatedController> controllers = new ArrayList<>();
   private final Map<String, SimulatedUser> users = new HashMap<>();
   private final ControllerTransport transport = new NetworkTransport();
@@ -60,7 +62,9 @@
     this.store = new SimulatedStore(timeline, storeLimits);
     this.cloud = new SimulatedCloud(timeline, LISTING_LAG_SECONDS, this::startWorker);
     this.duplicates = new DelayedDuplicates(timeline, controllers);
-    this.commandCopies = new DelayedCommandCopies(timeline, this::deliverToWorker);
+    for (DelayedCopies.Kind kind : DelayedCopies.Kind.values()) {
+      copies.put(kind, new DelayedCopies(timeline));
+    }
     store.history().onTermStart(duplicates::deliverKept);
     checker.tasks().jobEndStoredWhen(store::isEnded);
   }
@@ -97,9 +101,9 @@
     return duplicates;
   }
 
-  /** The fault that delivers copies of controllers' direct messages to workers late. */
-  public DelayedCommandCopies commandCopies() {
-    return commandCopies;
+  /** The fault that delivers copies of messages of a kind late. */
+  public DelayedCopies copies(DelayedCopies.Kind kind) {
+    return copies.get(kind);
   }
 
   /** All controllers, running or not; a live view. */
@@ -168,12 +172,30 @@
     network.deliver(
         USERS,
         label,
-        () ->
-            controller.handle(
-                method,
-                path,
-                body,
-                response -> network.deliver(label, USERS, () -> reply.accept(response))));
+        () -> {
+          copyUserRequest(method, path, body);
+          controller.handle(
+              method,
+              path,
+              body,
+              response -> network.deliver(label, USERS, () -> reply.accept(response)));
+        });
+  }
+
+  private void copyUserRequest(String method, String path, String body) {
+    if (method.equals("POST")) {
+      copies(DelayedCopies.Kind.USERS).onCarriedOut(() -> handleAtAny(method, path, body));
+    }
+  }
+
+  /** Has a random running controller handle a request; the response is discarded. */
+  private void handleAtAny(String method, String path, String body) {
+    List<SimulatedController> alive =
+        controllers.stream().filter(SimulatedController::alive).toList();
+    if (!alive.isEmpty()) {
+      int chosen = (int) (timeline.random() * alive.size());
+      alive.get(chosen).handle(method, path, body, discarded -> {});
+    }
   }
 
   private void deliverToWorker(
@@ -210,18 +232,39 @@
         InetSocketAddress target,
         HttpRequest request,
         Consumer<HttpResponse> reply) {
+      carryOut(
+          sender,
+          target,
+          request,
+          response -> {
+            if (response.status() == HttpStatus.OK && !request.method().equals("GET")) {
+              copies(kindOf(target))
+                  .onCarriedOut(() -> carryOut(sender, target, request, discarded -> {}));
+            }
+            reply.accept(response);
+          });
+    }
+
+    private DelayedCopies.Kind kindOf(InetSocketAddress target) {
+      if (target.equals(STORE_ADDRESS)) {
+        return DelayedCopies.Kind.WRITES;
+      }
+      return target.equals(CLOUD_ADDRESS)
+          ? DelayedCopies.Kind.MACHINES
+          : DelayedCopies.Kind.COMMANDS;
+    }
+
+    private void carryOut(
+        String sender,
+        InetSocketAddress target,
+        HttpRequest request,
+        Consumer<HttpResponse> reply) {
       if (target.equals(STORE_ADDRESS)) {
         store.handle(sender, request, reply);
       } else if (target.equals(CLOUD_ADDRESS)) {
         cloud.handle(request, reply);
       } else {
-        deliverToWorker(
-            target,
-            request,
-            response -> {
-              commandCopies.onAnswered(target, request, response);
-              reply.accept(response);
-            });
+        deliverToWorker(target, request, reply);
       }
     }
 
@@ -230,10 +273,16 @@
       network.deliver(
           sender.label(),
           receiver,
-          () ->
-              controllers.stream()
-                  .filter(controller -> controller.label().equals(receiver) && controller.alive())
-                  .forEach(controller -> controller.onFrame(frame)));
+          () -> {
+            arriveFrame(receiver, frame);
+            copies(DelayedCopies.Kind.FRAMES).onCarriedOut(() -> arriveFrame(receiver, frame));
+          });
+    }
+
+    private void arriveFrame(String receiver, byte[] frame) {
+      controllers.stream()
+          .filter(controller -> controller.label().equals(receiver) && controller.alive())
+          .forEach(controller -> controller.onFrame(frame));
     }
   }
 
