--- a/src/test/java/org/mulleinshift/scenario/CopiedCommandsTest.java
+++ b/src/test/java/org/mulleinshift/scenario/CopiedCommandsTest.java
@@ -20,10 +20,7 @@
   private static final KnownFailures KNOWN = KnownFailures.read();
 
   static List<ScenarioCatalog.Entry> scenarios() throws IOException {
-    String only = System.getProperty("scenario", "");
-    return ScenarioCatalog.files().stream()
-        .filter(scenario -> scenario.name().startsWith(only))
-        .toList();
+    return ScenarioCatalog.selectedFiles();
   }
 
   @ParameterizedTest(name = "{0}")
--- a/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
@@ -52,6 +52,12 @@
     }
   }
 
+  /** Those files whose names start with the system property {@code scenario}; all without it. */
+  static List<Entry> selectedFiles() throws IOException {
+    String prefix = System.getProperty("scenario", "");
+    return files().stream().filter(scenario -> scenario.name().startsWith(prefix)).toList();
+  }
+
   /**
    * The scenario in a file, which need not be among the test resources.
    *
--- a/src/test/java/org/mulleinshift/scenario/ScenarioSeeds.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioSeeds.java
@@ -57,7 +57,8 @@
 
   /** Runs the scenarios that the arguments select; see {@code --help}. */
   public static void main(String[] args) {
-    System.exit(new CommandLine(new ScenarioSeeds()).execute(args));
+    CommandLine commandLine = new CommandLine(new ScenarioSeeds());
+    System.exit(commandLine.setCaseInsensitiveEnumValuesAllowed(true).execute(args));
   }
 
   @Override
--- a/src/test/java/org/mulleinshift/scenario/ScenarioTest.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioTest.java
@@ -22,10 +22,7 @@
   private static final KnownFailures KNOWN = KnownFailures.read();
 
   static List<ScenarioCatalog.Entry> scenarios() throws IOException {
-    String only = System.getProperty("scenario", "");
-    return ScenarioCatalog.files().stream()
-        .filter(scenario -> scenario.name().startsWith(only))
-        .toList();
+    return ScenarioCatalog.selectedFiles();
   }
 
   @ParameterizedTest(name = "{0}")
--- a/src/test/java/org/mulleinshift/sharding/CommandsInFlightTest.java
+++ b/src/test/java/org/mulleinshift/sharding/CommandsInFlightTest.java
@@ -6,12 +6,11 @@
 import static org.mulleinshift.sharding.ShardOwnerFixture.JOB;
 import static org.mulleinshift.sharding.ShardOwnerFixture.MACHINE;
 import static org.mulleinshift.sharding.ShardOwnerFixture.TOKEN;
+import static org.mulleinshift.sharding.ShardOwnerFixture.token;
 
 import org.junit.jupiter.api.Test;
-import org.mulleinshift.protocol.Json;
 import org.mulleinshift.protocol.MalformedMessageException;
 import org.mulleinshift.sharding.ShardOwnerFixture.Origin;
-import org.mulleinshift.transport.HttpResponse;
 
 /**
  * Guards against a task being started by the response to a heartbeat, which direct commands have
@@ -23,10 +22,6 @@
 
   private final ShardOwnerFixture fixture = new ShardOwnerFixture(MACHINE);
 
-  private static long token(String body) throws MalformedMessageException {
-    return Json.count(Json.parseObject(body), "baton", 0, Long.MAX_VALUE);
-  }
-
   @Test
   void stopOfTaskThatAResponseMayStillStartUsesHigherToken() throws MalformedMessageException {
     // Given a task started by a direct command, and one started by the response to a heartbeat.
@@ -45,11 +40,7 @@
     // When the job is cancelled, and the worker carries out the direct command before it receives
     // the response to its heartbeat: it doesn't know the second task yet.
     fixture.cancel(JOB);
-    fixture
-        .directMessages()
-        .get(0)
-        .reply()
-        .accept(new HttpResponse(200, ShardOwnerFixture.heartbeat(MACHINE, 4, TOKEN, fetching)));
+    fixture.answerLastDirectMessage(MACHINE, 4, fetching);
 
     // Then
     String stop = fixture.lastDirectMessage().body();
@@ -67,16 +58,11 @@
     fixture.assign(1, 0, Origin.FRESH);
     String response = fixture.sendHeartbeat(MACHINE, 3, TOKEN, "").orElseThrow();
     assertTrue(response.contains("run-1/0"), response);
-    answerLastDirectMessage(4);
+    fixture.answerLastDirectMessage(MACHINE, 4, STOPPED);
     fixture.unassign(2, 0);
     return response;
   }
 
-  private void answerLastDirectMessage(int sequence) {
-    String report = ShardOwnerFixture.heartbeat(MACHINE, sequence, TOKEN, STOPPED);
-    fixture.lastDirectMessage().reply().accept(new HttpResponse(200, report));
-  }
-
   @Test
   void attemptThatAResponseMayStillStartIsNotForgotten() throws MalformedMessageException {
     startTwiceAndEnd();
@@ -86,7 +72,7 @@
     String direct = fixture.lastDirectMessage().body();
     assertTrue(direct.contains("run-1/1"), direct);
     assertFalse(direct.contains("forget"), direct);
-    answerLastDirectMessage(5);
+    fixture.answerLastDirectMessage(MACHINE, 5, STOPPED);
     fixture.assign(4, 2, Origin.FRESH);
 
     // Then a report in the response to a direct command doesn't show that the other one arrived.
@@ -104,7 +90,7 @@
   void lateCopyOfAHeartbeatShowsNothing() throws MalformedMessageException {
     startTwiceAndEnd();
     fixture.assign(3, 1, Origin.FRESH);
-    answerLastDirectMessage(5);
+    fixture.answerLastDirectMessage(MACHINE, 5, STOPPED);
     fixture.sendHeartbeat(MACHINE, 2, TOKEN, "");
     fixture.assign(4, 2, Origin.FRESH);
     assertFalse(fixture.lastDirectMessage().body().contains("forget"));
--- a/src/test/java/org/mulleinshift/sharding/RestartedWorkerTest.java
+++ b/src/test/java/org/mulleinshift/sharding/RestartedWorkerTest.java
@@ -4,17 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.mulleinshift.sharding.ShardOwnerFixture.MACHINE;
 import static org.mulleinshift.sharding.ShardOwnerFixture.TOKEN;
+import static org.mulleinshift.sharding.ShardOwnerFixture.token;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.mulleinshift.protocol.Json;
 import org.mulleinshift.protocol.MalformedMessageException;
 import org.mulleinshift.protocol.peer.TaskStatus;
 import org.mulleinshift.sharding.ShardOwnerFixture.Origin;
-import org.mulleinshift.transport.HttpResponse;
 
 /**
  * Guards against a task that runs twice because its machine has restarted within an epoch: the
@@ -26,10 +25,6 @@
 
   private final ShardOwnerFixture fixture = new ShardOwnerFixture(MACHINE);
 
-  private static long token(String body) throws MalformedMessageException {
-    return Json.count(Json.parseObject(body), "baton", 0, Long.MAX_VALUE);
-  }
-
   private String phaseOfTask() {
     List<TaskStatus> tasks = fixture.owner().statusReporter().periodicStatus().getTasks();
     assertEquals(1, tasks.size(), "one task is assigned: " + tasks);
@@ -40,8 +35,7 @@
   void runTask() throws MalformedMessageException {
     fixture.confirm(MACHINE);
     fixture.assign(1, 0, Origin.FRESH);
-    String report = ShardOwnerFixture.heartbeat(MACHINE, 3, TOKEN, RUNNING);
-    fixture.lastDirectMessage().reply().accept(new HttpResponse(200, report));
+    fixture.answerLastDirectMessage(MACHINE, 3, RUNNING);
     assertEquals("RUNNING", phaseOfTask());
   }
 
--- a/src/test/java/org/mulleinshift/sharding/ShardOwnerFixture.java
+++ b/src/test/java/org/mulleinshift/sharding/ShardOwnerFixture.java
@@ -16,6 +16,7 @@
 import org.mulleinshift.model.ClusterView.ShardRecord;
 import org.mulleinshift.placement.MachineTypeCatalog;
 import org.mulleinshift.protocol.JobId;
+import org.mulleinshift.protocol.Json;
 import org.mulleinshift.protocol.MachineId;
 import org.mulleinshift.protocol.MachineTypeId;
 import org.mulleinshift.protocol.MalformedMessageException;
@@ -107,6 +108,17 @@
     return directMessages.get(directMessages.size() - 1);
   }
 
+  /** Has the worker answer the last direct message with a report under the grant's first token. */
+  void answerLastDirectMessage(String machine, int sequence, String tasks) {
+    String report = heartbeat(machine, sequence, TOKEN, tasks);
+    lastDirectMessage().reply().accept(new HttpResponse(OK, report));
+  }
+
+  /** The fencing token in a response to a heartbeat or in a direct message. */
+  static long token(String body) throws MalformedMessageException {
+    return Json.count(Json.parseObject(body), "baton", 0, Long.MAX_VALUE);
+  }
+
   void runFor(Duration time) {
     loop.runFor(time.toMillis() / 1000.0);
   }
--- a/src/test/java/org/mulleinshift/sharding/StartTokensTest.java
+++ b/src/test/java/org/mulleinshift/sharding/StartTokensTest.java
@@ -5,12 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.mulleinshift.sharding.ShardOwnerFixture.MACHINE;
 import static org.mulleinshift.sharding.ShardOwnerFixture.TOKEN;
+import static org.mulleinshift.sharding.ShardOwnerFixture.token;
 
 import org.junit.jupiter.api.Test;
-import org.mulleinshift.protocol.Json;
 import org.mulleinshift.protocol.MalformedMessageException;
 import org.mulleinshift.sharding.ShardOwnerFixture.Origin;
-import org.mulleinshift.transport.HttpResponse;
 
 /** Guards against an attempt that a copy of its start command starts after it was forgotten. */
 final class StartTokensTest {
@@ -19,21 +18,12 @@
 
   private final ShardOwnerFixture fixture = new ShardOwnerFixture(MACHINE);
 
-  private static long token(String body) throws MalformedMessageException {
-    return Json.count(Json.parseObject(body), "baton", 0, Long.MAX_VALUE);
-  }
-
-  private void answerLastDirectMessage(int sequence, String tasks) {
-    String report = ShardOwnerFixture.heartbeat(MACHINE, sequence, TOKEN, tasks);
-    fixture.lastDirectMessage().reply().accept(new HttpResponse(200, report));
-  }
-
   /** Has a direct message start a task, whose failure the leader stores. */
   private String startAndFail() throws MalformedMessageException {
     fixture.confirm(MACHINE);
     fixture.assign(1, 0, Origin.FRESH);
     String start = fixture.lastDirectMessage().body();
-    answerLastDirectMessage(3, FAILED);
+    fixture.answerLastDirectMessage(MACHINE, 3, FAILED);
     fixture.unassign(2, 0);
     return start;
   }
@@ -52,7 +42,7 @@
   void directMessageUnderTheTokenOfTheStartCarriesNoForget() throws MalformedMessageException {
     startAndFail();
     fixture.assign(3, 1, Origin.FRESH);
-    answerLastDirectMessage(4, FAILED);
+    fixture.answerLastDirectMessage(MACHINE, 4, FAILED);
 
     String direct = fixture.lastDirectMessage().body();
 
