--- a/src/main/java/org/mulleinshift/sharding/ShardOwner.java
+++ b/src/main/java/org/mulleinshift/sharding/ShardOwner.java
@@ -159,10 +159,7 @@
     reconciler.apply(machine, heartbeat);
     machine.markResponded(loop.now());
     placeTasks();
-    if (commandPlanner.mustRaiseTokenToForget(machine)) {
-      state.raiseTokenInResponse(machine, TokenRaise.FORGET);
-    }
-    List<WorkerCommand> commands = commandPlanner.commandsFor(machine);
+    List<WorkerCommand> commands = planResponse(machine);
     String body = WorkerCodec.writeHeartbeatResponse(machine.token(), commands);
     machine.commands().onResponse(commands, machine.token());
     LOG.debug(
@@ -177,6 +174,14 @@
     return Optional.of(body);
   }
 
+  /** The commands for the response to a heartbeat, under the token that they need. */
+  private List<WorkerCommand> planResponse(OwnedMachine machine) {
+    if (commandPlanner.mustRaiseTokenToForget(machine)) {
+      state.raiseTokenInResponse(machine, TokenRaise.FORGET);
+    }
+    return commandPlanner.commandsFor(machine);
+  }
+
   /**
    * Gives a worker a token although its heartbeat may not be responded to: it may be a delayed
    * copy, and a response would renew the lease of a worker that is still to be found dead.
