--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -2,11 +2,14 @@
 import java.util.List;
 import java.util.Map;
 
-/** A repeated submission of an accepted job gets 400 once the limits that come are announced. */
+/** A cancellation that is never answered once the state service has lowered its limits. */
 final class Case7 extends Case {
   private static final String REF = "run-000412";
   private static final int BUILDS = 64;
 
+  /** For so long a user repeats a request. */
+  private static final double RETRY_SECONDS = 60;
+
   private final Cluster.Options options = Cluster.Options.cardovia();
 
   public static void main(String[] arguments) {
@@ -27,20 +30,19 @@
       builds.add(String.format("pampa-highmem-gen%02d-16cpu", i));
     }
     job.put("builds", builds);
-    Http.Answer accepted = user.submit(0, job, 2);
+    Http.Answer accepted = user.submit(0, job, 300);
     if (accepted == null || accepted.status() > 201) {
       throw new CannotRun("the job is not accepted");
     }
-    Http.Answer state = null;
-    for (int i = 0; i < 40 && !User.phase(state).equals("done"); i++) {
-      Thread.sleep(1000);
-      state = user.poll(i % cluster.size(), REF);
+    for (int i = 0; i < 200 && cluster.jobs.running(REF) == 0; i++) {
+      Thread.sleep(100);
     }
-    if (!User.phase(state).equals("done")) {
-      throw new CannotRun("the job is not done");
+    if (cluster.jobs.running(REF) == 0) {
+      throw new CannotRun("the job does not run");
     }
 
-    // All controllers are restarted one after the other; the new settings announce limits.
+    // All controllers are restarted one after the other; the new settings announce limits, which
+    // then come.
     if (trouble) {
       options.stateNext =
           "\n[cluster.state.next]\nrps = 200.0\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 4\n";
@@ -54,16 +56,27 @@
       }
       Thread.sleep(2000);
     }
-
-    boolean broken = false;
-    for (int node = 0; node < cluster.size(); node++) {
-      Http.Answer repeated = user.submitOnce(node, job, 2);
-      broken |= repeated != null && (repeated.status() == 400 || repeated.status() == 422);
+    if (trouble) {
+      cluster.store.valueKb = 2;
+      cluster.store.txnOps = 4;
+      cluster.store.writeRps = 28;
+      cluster.record.add("state: the limits have come");
     }
-    for (int node = 0; node < cluster.size(); node++) {
-      user.poll(node, REF);
+    Thread.sleep(2000);
+
+    double end = cluster.record.now() + RETRY_SECONDS;
+    boolean answered = false;
+    for (int node = 0; !answered && cluster.record.now() < end; node = (node + 1) % cluster.size()) {
+      Http.Answer answer = user.cancelOnce(node, REF);
+      answered = User.phase(answer).equals("cancelled") || User.phase(answer).equals("done");
+      if (!answered) {
+        Thread.sleep(answer == null ? 1000 : Math.max(1000, 1000L * answer.retryAfter()));
+      }
     }
-    cluster.record.add("check: a repeated submission got 400 or 422: %s", broken);
-    return broken;
+    user.poll(0, REF);
+    cluster.record.add(
+        "check: the cancellation was answered: %s; %d tasks of the job run",
+        answered, cluster.jobs.running(REF));
+    return !answered;
   }
 }
