--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -13,6 +14,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** HTTP/1.1 on loopback: a server with a thread for each connection, and a client. */
 final class Http {
@@ -32,10 +34,17 @@
 
   private Http() {}
 
+  /** A free port below those that outgoing connections get, so that none of them takes it. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int attempt = 0; attempt < 200; attempt++) {
+      int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        // Taken: the next attempt draws another one.
+      }
     }
+    throw new IOException("no free port");
   }
 
   static final class Server implements AutoCloseable {
