--- a/review/standins-2/Cluster.java
+++ b/review/standins-2/Cluster.java
@@ -1,5 +1,6 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -84,6 +85,10 @@
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(4);
   private final List<Integer> publicPorts = new ArrayList<>();
   private final List<Integer> peerPorts = new ArrayList<>();
+
+  /** The sockets that keep the nodes' ports free until their first start. */
+  private final List<List<ServerSocket>> reserved = new ArrayList<>();
+
   private final Process[] processes;
   private final List<String> command;
 
@@ -103,8 +108,11 @@
     this.cloud = new Cloud(this, timers, options.capacity);
     this.processes = new Process[options.nodes];
     for (int i = 0; i < options.nodes; i++) {
-      publicPorts.add(Http.freePort());
-      peerPorts.add(Http.freePort());
+      ServerSocket forUsers = Http.reservePort();
+      ServerSocket forPeers = Http.reservePort();
+      publicPorts.add(forUsers.getLocalPort());
+      peerPorts.add(forPeers.getLocalPort());
+      reserved.add(List.of(forUsers, forPeers));
     }
     this.command = runCommand();
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
@@ -191,6 +199,9 @@
     ProcessBuilder builder = new ProcessBuilder(line).directory(root.toFile());
     builder.environment().put("LOG_LEVEL", System.getenv().getOrDefault("LOG_LEVEL", "info"));
     builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
+    for (ServerSocket socket : reserved.get(node)) {
+      socket.close();
+    }
     File log = folder.resolve(name(node) + ".log").toFile();
     builder.redirectError(ProcessBuilder.Redirect.appendTo(log));
     Process process = builder.start();
--- a/review/standins-2/Http.java
+++ b/review/standins-2/Http.java
@@ -34,12 +34,15 @@
 
   private Http() {}
 
-  /** A free port below those that outgoing connections get, so that none of them takes it. */
-  static int freePort() throws IOException {
+  /**
+   * Reserves a free port below those that outgoing connections get, so that none of them takes it.
+   * The port stays reserved until the socket is closed.
+   */
+  static ServerSocket reservePort() throws IOException {
     for (int attempt = 0; attempt < 200; attempt++) {
       int port = ThreadLocalRandom.current().nextInt(12_000, 30_000);
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
-        return socket.getLocalPort();
+      try {
+        return new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
       } catch (BindException e) {
         // Taken: the next attempt draws another one.
       }
