A cancellation is answered only for what is stored as cancelled

Cause: the read showed neither key, the view had brought the active record meanwhile, and every active record was taken for a cancelled one at that point (CancellationHandler.needsAnnouncement): a conclusion by exclusion from two readings of different age.

Change: the handler acts on the newest status alone. An active record that is not cancelled is cancelled under its own revision, wherever it was found; cancelled is announced and answered only for a record or an end that says so. An older record fails the transaction's guard and is read again.

--- a/src/main/java/org/mulleinshift/api/CancellationHandler.java
+++ b/src/main/java/org/mulleinshift/api/CancellationHandler.java
@@ -58,32 +58,38 @@
       return;
     }
     statusReader.readStored(
-        id,
-        status -> {
-          if (status instanceof JobStatus.Active active && !active.job().cancelled()) {
-            storeCancellation(active.job(), remainingAttempts, responder);
-          } else if (needsAnnouncement(id, status)) {
-            announce(id, responder);
-          } else {
-            responses.respondWithStatusOrNotFound(id, status, responder);
-          }
-        });
+        id, status -> onStatus(id, knownJobs.newerOf(id, status), remainingAttempts, responder));
+  }
+
+  /**
+   * Continues with the newest status known. It may come from the view of active jobs, which the
+   * read does not show yet: a job counts as cancelled only if its record or its end says so.
+   */
+  private void onStatus(JobId id, JobStatus newest, int remainingAttempts, Responder responder) {
+    if (newest instanceof JobStatus.Active active && !active.job().cancelled()) {
+      storeCancellation(active.job(), remainingAttempts, responder);
+    } else if (isCancelled(newest) && needsAnnouncement(id, newest)) {
+      announce(id, responder);
+    } else {
+      responses.respondWithStatusOrNotFound(id, newest, responder);
+    }
+  }
+
+  private static boolean isCancelled(JobStatus status) {
+    return (status instanceof JobStatus.Active active && active.job().cancelled())
+        || (status instanceof JobStatus.Ended ended && ended.phase() == JobPhase.CANCELLED);
   }
 
   /**
-   * Whether the job is cancelled but not known to be stored as ended, and the announcement of its
+   * Whether a cancelled job is not known to be stored as ended, and the announcement of its
    * cancellation has not been confirmed.
    */
   private boolean needsAnnouncement(JobId id, JobStatus status) {
-    JobStatus newest = knownJobs.newerOf(id, status);
-    boolean cancelled =
-        newest instanceof JobStatus.Active
-            || (newest instanceof JobStatus.Ended ended && ended.phase() == JobPhase.CANCELLED);
     boolean active =
         status instanceof JobStatus.Active
             || knownJobs.findActive(id).isPresent()
             || cancelledByThisNode.contains(id);
-    return cancelled && active && !announcedJobs.contains(id);
+    return active && !announcedJobs.contains(id);
   }
 
   private void storeCancellation(JobRecord job, int remainingAttempts, Responder responder) {
