Checks: a dependent may be called cancelled before its dependency's user is told

The checker reported went_back ("cancelled by nobody") for a dependent whose dependency's cancellation was requested and stored, but answered 503 in doubt.

Equally strict: without a request it is reported at once as before, and at the end the dependency must have been called cancelled, else it is reported then.

--- a/src/test/java/org/mulleinshift/invariants/InvariantCheckerTest.java
+++ b/src/test/java/org/mulleinshift/invariants/InvariantCheckerTest.java
@@ -50,6 +50,35 @@
     assertBroken();
   }
 
+  @Test
+  void aJobMayBeReportedCancelledBeforeTheOneItIsCancelledWith() {
+    ObservedJob dependency = submitted("run-1", Map.of());
+    submitted("run-2", Map.of("awaits", "run-1"));
+    dependency.requestCancellation();
+    reported("run-2", "cancelled");
+    reported("run-1", "cancelled");
+    checker.checkAtEnd(0);
+    assertBroken();
+  }
+
+  @Test
+  void aJobThatIsCancelledWithOneThatIsNotIsFound() {
+    ObservedJob dependency = submitted("run-1", Map.of());
+    submitted("run-2", Map.of("awaits", "run-1"));
+    dependency.requestCancellation();
+    reported("run-2", "cancelled");
+    checker.checkAtEnd(0);
+    assertBroken(Rule.WENT_BACK);
+  }
+
+  @Test
+  void aJobThatIsCancelledWithoutARequestIsFound() {
+    submitted("run-1", Map.of());
+    submitted("run-2", Map.of("awaits", "run-1"));
+    reported("run-2", "cancelled");
+    assertBroken(Rule.WENT_BACK);
+  }
+
   @Test
   void aTaskThatRunsOnTwoMachinesIsFound() {
     submitted("run-1", Map.of());
