A job that the view does not show is not taken for ended

Callers could see: 200 to a repeated cancellation that had been announced to nobody, after which tasks of the job could still start. A controller whose view of the active jobs is old reads for a repeated submission that the job is cancelled and remembers that; for a cancellation it then took "cancelled, not in the view" for "ended".

Found by going through the answers that rest on an old view.

Change: a remembered final phase says whether the end is known to be stored (read from t/, or the record seen to go). Only then, or once an announcement was confirmed, is a repeated cancellation answered without announcing it.

--- a/src/main/java/org/mulleinshift/api/CancellationHandler.java
+++ b/src/main/java/org/mulleinshift/api/CancellationHandler.java
@@ -28,9 +28,6 @@
   private final JobResponseWriter responses;
   private final CancellationNotifier notifier;
 
-  /** Jobs whose cancellation this node has stored. */
-  private final Set<JobId> cancelledByThisNode = BoundedMap.set(MAX_REMEMBERED_JOBS);
-
   /** Cancelled jobs of which no controller can start a task any more. */
   private final Set<JobId> announcedJobs = BoundedMap.set(MAX_REMEMBERED_JOBS);
 
@@ -68,7 +65,7 @@
   private void onStatus(JobId id, JobStatus newest, int remainingAttempts, Responder responder) {
     if (newest instanceof JobStatus.Active active && !active.job().cancelled()) {
       storeCancellation(active.job(), remainingAttempts, responder);
-    } else if (isCancelled(newest) && needsAnnouncement(id, newest)) {
+    } else if (isCancelled(newest) && needsAnnouncement(id)) {
       announce(id, responder);
     } else {
       responses.respondWithStatusOrNotFound(id, newest, responder);
@@ -84,12 +81,8 @@
    * Whether a cancelled job is not known to be stored as ended, and the announcement of its
    * cancellation has not been confirmed.
    */
-  private boolean needsAnnouncement(JobId id, JobStatus status) {
-    boolean active =
-        status instanceof JobStatus.Active
-            || knownJobs.findActive(id).isPresent()
-            || cancelledByThisNode.contains(id);
-    return active && !announcedJobs.contains(id);
+  private boolean needsAnnouncement(JobId id) {
+    return !knownJobs.isEndStored(id) && !announcedJobs.contains(id);
   }
 
   private void storeCancellation(JobRecord job, int remainingAttempts, Responder responder) {
@@ -100,8 +93,7 @@
         KeyValueStore.Urgency.PROMPT,
         outcome -> {
           if (outcome instanceof CommitResult.Committed) {
-            knownJobs.cacheTerminalPhase(id, JobPhase.CANCELLED);
-            cancelledByThisNode.add(id);
+            knownJobs.cacheCancellation(id);
             announce(id, responder);
           } else if (outcome instanceof CommitResult.Conflict) {
             cancel(id, remainingAttempts - 1, responder);
--- a/src/main/java/org/mulleinshift/api/DependencyReader.java
+++ b/src/main/java/org/mulleinshift/api/DependencyReader.java
@@ -172,7 +172,7 @@
         urgency,
         item -> {
           Optional<JobPhase> phase = item.flatMap(JobRecord::endedPhase);
-          phase.ifPresent(terminal -> knownJobs.cacheTerminalPhase(ended, terminal));
+          phase.ifPresent(terminal -> knownJobs.cacheEnd(ended, terminal));
           completeRead(endReads, ended, phase.isPresent());
         });
   }
--- a/src/main/java/org/mulleinshift/api/JobResponseWriter.java
+++ b/src/main/java/org/mulleinshift/api/JobResponseWriter.java
@@ -86,7 +86,7 @@
   }
 
   private void respondWithCancelled(JobId id, Responder responder) {
-    knownJobs.cacheTerminalPhase(id, JobPhase.CANCELLED);
+    knownJobs.cacheCancellation(id);
     respondWithPhase(id, HttpStatus.OK, JobPhase.CANCELLED, responder);
   }
 
--- a/src/main/java/org/mulleinshift/api/JobStatusReader.java
+++ b/src/main/java/org/mulleinshift/api/JobStatusReader.java
@@ -154,7 +154,7 @@
   private JobStatus endedStatus(JobId id, ReadResult<KeyValue> ended) {
     if (ended instanceof ReadResult.Found<KeyValue> found) {
       Optional<JobPhase> phase = JobRecord.endedPhase(found.value());
-      phase.ifPresent(terminal -> knownJobs.cacheTerminalPhase(id, terminal));
+      phase.ifPresent(terminal -> knownJobs.cacheEnd(id, terminal));
       return phase.<JobStatus>map(JobStatus.Ended::new).orElse(new JobStatus.Unknown());
     }
     return ended instanceof ReadResult.Absent<KeyValue>
--- a/src/main/java/org/mulleinshift/api/KnownJobs.java
+++ b/src/main/java/org/mulleinshift/api/KnownJobs.java
@@ -22,7 +22,18 @@
   private static final int MAX_JOBS_WITH_LISTS = 64;
   private static final JobTaskCounts NO_TASKS = new JobTaskCounts("", 0, 0);
 
-  private final Map<JobId, JobPhase> terminalPhases = new BoundedMap<>(MAX_CACHED_TERMINAL_PHASES);
+  /**
+   * A final phase.
+   *
+   * @param endStored whether the job is stored as ended; if not, its cancellation is stored, or
+   *     that of a job that it depends on, and it may still have tasks
+   */
+  private record TerminalPhase(JobPhase phase, boolean endStored) {}
+
+  private static final TerminalPhase CANCELLED = new TerminalPhase(JobPhase.CANCELLED, false);
+
+  private final Map<JobId, TerminalPhase> terminalPhases =
+      new BoundedMap<>(MAX_CACHED_TERMINAL_PHASES);
   private final Map<JobId, JobStatus> active = new HashMap<>();
   private Revision viewRevision = new Revision(0);
 
@@ -50,13 +61,15 @@
   }
 
   /**
-   * Removes a job that is no longer active. The record of a cancelled job is removed only when the
-   * job ends, so its final phase is known to be cancelled.
+   * Removes a job that is no longer active. Its record is removed only when the job ends, so if it
+   * was cancelled it is now stored as ended with that phase.
    */
   void onNoLongerActive(JobId id) {
     listedDependencies.remove(id);
-    if (active.remove(id) instanceof JobStatus.Active job && job.job().cancelled()) {
-      cacheTerminalPhase(id, JobPhase.CANCELLED);
+    boolean cancelled = terminalPhase(id).filter(JobPhase.CANCELLED::equals).isPresent();
+    active.remove(id);
+    if (cancelled) {
+      cacheEnd(id, JobPhase.CANCELLED);
     }
   }
 
@@ -98,9 +111,23 @@
     return taskCounts.containsKey(id.value());
   }
 
-  /** Caches a job's final phase. */
-  void cacheTerminalPhase(JobId id, JobPhase phase) {
-    terminalPhases.put(id, phase);
+  /** Caches the final phase of a job that is stored as ended. */
+  void cacheEnd(JobId id, JobPhase phase) {
+    terminalPhases.put(id, new TerminalPhase(phase, true));
+  }
+
+  /** Caches that a job is cancelled, whether or not it is stored as ended yet. */
+  void cacheCancellation(JobId id) {
+    terminalPhases.putIfAbsent(id, CANCELLED);
+  }
+
+  /**
+   * Whether the job is known to be stored as ended. That the view does not show a job is no sign of
+   * it, since the view may be older than the job.
+   */
+  boolean isEndStored(JobId id) {
+    TerminalPhase terminal = terminalPhases.get(id);
+    return terminal != null && terminal.endStored();
   }
 
   /** Whether the job is known to have been accepted. */
@@ -115,13 +142,13 @@
 
   /** The job's cached final phase, if any; the end may not be stored yet. */
   Optional<JobPhase> cachedTerminalPhase(JobId id) {
-    return Optional.ofNullable(terminalPhases.get(id));
+    return Optional.ofNullable(terminalPhases.get(id)).map(TerminalPhase::phase);
   }
 
   /** The job's final phase by the cache or a cancelled active record; empty if not known. */
   Optional<JobPhase> terminalPhase(JobId id) {
     boolean cancelled = active.get(id) instanceof JobStatus.Active job && job.job().cancelled();
-    return Optional.ofNullable(cancelled ? JobPhase.CANCELLED : terminalPhases.get(id));
+    return cancelled ? Optional.of(JobPhase.CANCELLED) : cachedTerminalPhase(id);
   }
 
   /**
--- a/src/test/java/org/mulleinshift/api/JobApiFixture.java
+++ b/src/test/java/org/mulleinshift/api/JobApiFixture.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -128,6 +129,10 @@
   /** Updates the view just before it is confirmed. */
   Runnable onConfirmation = () -> {};
 
+  /** The cancellations that were announced to the other controllers. */
+  final List<JobId> announced = new ArrayList<>();
+
+  boolean announcementsAcknowledged = true;
   boolean allControllersVerifyDependencies = true;
   MemoryPressure memoryPressure = MemoryPressure.NORMAL;
   JobApi api;
@@ -158,10 +163,15 @@
                 RETRY_AFTER_SECONDS,
                 this::confirmCurrent,
                 () -> memoryPressure,
-                (job, result) -> result.accept(true),
+                this::announce,
                 () -> allControllersVerifyDependencies));
   }
 
+  private void announce(JobId job, Consumer<Boolean> result) {
+    announced.add(job);
+    result.accept(announcementsAcknowledged);
+  }
+
   private void confirmCurrent(Consumer<Boolean> result) {
     if (viewConfirmed) {
       onConfirmation.run();
--- a/src/test/java/org/mulleinshift/api/JobApiTest.java
+++ b/src/test/java/org/mulleinshift/api/JobApiTest.java
@@ -127,6 +127,41 @@
     assertEquals(phase(200, "cancelled"), poll(), "poll of a cancelled job");
   }
 
+  /** Guards against a conclusion that a job has ended since the view does not show it. */
+  @Test
+  void announcesARepeatedCancellationOfAJobThatTheViewDoesNotShow() {
+    storeActive(true);
+    store.commitStatus = 409;
+    assertEquals(phase(200, "cancelled"), submit(), "read from the store");
+    announcementsAcknowledged = false;
+    assertEquals(TRY_AGAIN, cancel(), "announced, but not acknowledged");
+    announcementsAcknowledged = true;
+    assertEquals(phase(200, "cancelled"), cancel());
+    assertEquals(List.of(JOB, JOB), announced);
+    assertEquals(phase(200, "cancelled"), cancel());
+    assertEquals(List.of(JOB, JOB), announced, "acknowledged already");
+  }
+
+  @Test
+  void announcesNoCancellationOfAJobThatIsStoredAsEnded() {
+    storeEnded(JobPhase.CANCELLED);
+    assertEquals(phase(200, "cancelled"), cancel());
+    assertEquals(phase(200, "cancelled"), cancel());
+    assertEquals(List.of(), announced);
+  }
+
+  /** Guards against a cancellation that is confirmed for a record that was accepted meanwhile. */
+  @Test
+  void cancelsAJobThatTheViewShowsBeforeTheStoreIsRead() {
+    showActive();
+    store.commitStatus = 409;
+    assertEquals(TRY_AGAIN, cancel(), "not stored, so not confirmed");
+    assertEquals(List.of(), announced);
+    store.commitStatus = 200;
+    assertEquals(phase(200, "cancelled"), cancel());
+    assertEquals(List.of(JOB), announced);
+  }
+
   @Test
   void cancellingDoneJobKeepsItDone() {
     storeEnded(JobPhase.DONE);
