A cancellation is answered once every controller knows it or has no session

Cause: CancellationAnnouncer waited for the owners in its view of c/. Just after a restart that view is empty, so nobody was told; an old one misses new owners; a current one misses an earlier owner whose lease still runs; a controller that had never been up kept the announcements off altogether (feature level unknown).

Change, two invariants: 200 only once each other member has acknowledged, or had no session by control keys confirmed after the cancellation was stored (else after an ownership lease, as before); and a controller's evidence counts only if requested after its session was registered, so one without a session knows the cancellation before it may own a shard.

--- a/src/main/java/org/mulleinshift/compatibility/FeatureGates.java
+++ b/src/main/java/org/mulleinshift/compatibility/FeatureGates.java
@@ -96,10 +96,14 @@
         });
   }
 
+  /** Returns whether the controller is known to have published the given level or a higher one. */
+  public boolean supports(NodeId node, int level) {
+    return view.featureLevels().getOrDefault(node, 0) >= level;
+  }
+
   /** Returns whether all members have published the given feature level or a higher one. */
   public boolean allSupport(int level) {
-    boolean all =
-        members.stream().allMatch(node -> view.featureLevels().getOrDefault(node, 0) >= level);
+    boolean all = members.stream().allMatch(node -> supports(node, level));
     if (all && loggedLevel < level) {
       loggedLevel = level;
       LOG.info("feature level supported by all controllers, level={}", level);
--- a/src/main/java/org/mulleinshift/controller/ComponentEvents.java
+++ b/src/main/java/org/mulleinshift/controller/ComponentEvents.java
@@ -89,6 +89,7 @@
 
   /** The view has been updated from the control keys. */
   void onControlKeysChanged() {
+    components.cancellationAnnouncer().onControlKeysChanged();
     components.ownedShards().onControlKeysChanged();
     components.currentTerm().ifLeading(Leader::onControlKeysChanged);
     components.leadership().observeElection();
--- a/src/main/java/org/mulleinshift/controller/ControllerComponents.java
+++ b/src/main/java/org/mulleinshift/controller/ControllerComponents.java
@@ -306,8 +306,9 @@
   }
 
   private CancellationAnnouncer createCancellationAnnouncer() {
-    return new CancellationAnnouncer(
-        loop, members, view, featureGates, messenger, cancelledJobs, shardLease);
+    CancellationAnnouncer.Cluster controllers =
+        new CancellationAnnouncer.Cluster(members, view, controlKeys::confirmCurrent, featureGates);
+    return new CancellationAnnouncer(loop, controllers, messenger, cancelledJobs, shardLease);
   }
 
   private CloudClient createCloudClient() {
--- a/src/main/java/org/mulleinshift/membership/ControllerSession.java
+++ b/src/main/java/org/mulleinshift/membership/ControllerSession.java
@@ -107,13 +107,11 @@
 
   private void acquire() {
     transitionTo(State.ACQUIRING);
-    MonotonicTime sent = loop.now();
     store.grantLease(
         ttl,
         answer -> {
           if (answer instanceof ReadResult.Found<LeaseId> found) {
             lease = Optional.of(found.value());
-            onRenewed(sent);
             register(found.value());
           } else {
             loop.after(RETRY_DELAY, this::acquire);
@@ -129,6 +127,8 @@
         KeyValueStore.Urgency.URGENT,
         outcome -> {
           if (outcome instanceof KeyValueStore.CommitResult.Committed) {
+            ownership.onSessionRegistered(loop.now());
+            verifiedGrants = Map.of();
             transitionTo(State.ACTIVE);
             renew(ownLease);
           } else {
@@ -182,11 +182,14 @@
    * Applies the own grants as read from the store. Several reads may be in flight, and the store
    * may serve them in another order than they were sent, so the revision tells which is newer. An
    * older one is evidence all the same: the grants known already are valid as of a later time than
-   * it was sent.
+   * it was sent. A read from before the session was registered is ignored: it may show grants of an
+   * earlier session.
    */
   private void onGrantsVerified(
       MonotonicTime sent, Revision revision, Map<ShardId, Revision> ownGrants) {
-    ownership.confirm(Evidence.GRANTS_READ, sent);
+    if (!ownership.confirm(Evidence.GRANTS_READ, sent)) {
+      return;
+    }
     if (revision.compareTo(grantsRevision) < 0) {
       LOG.debug("outdated grants ignored, revision={} known={}", revision, grantsRevision);
       return;
@@ -261,12 +264,15 @@
   }
 
   /**
-   * Records that this controller knows every cancellation stored before the given time.
+   * Records that this controller knows every cancellation stored before the given time. If that was
+   * before the session was registered, it is checked again.
    *
    * @param requestedAt when the request was sent whose response showed this
    */
   public void onCancellationsKnown(MonotonicTime requestedAt) {
-    ownership.confirm(Evidence.CANCELLATIONS_KNOWN, requestedAt);
+    if (!ownership.confirm(Evidence.CANCELLATIONS_KNOWN, requestedAt) && state == State.ACTIVE) {
+      confirmCancellations.run();
+    }
   }
 
   /**
--- a/src/main/java/org/mulleinshift/membership/OwnershipLease.java
+++ b/src/main/java/org/mulleinshift/membership/OwnershipLease.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.Optional;
 import org.mulleinshift.transport.MonotonicTime;
 
 /**
@@ -37,6 +38,9 @@
   private final Duration usableFor;
   private final Map<Evidence, MonotonicTime> evidenceAsOf = new EnumMap<>(Evidence.class);
 
+  /** When the session was registered; empty before. */
+  private Optional<MonotonicTime> registeredAt = Optional.empty();
+
   /**
    * Creates a lease without evidence, which is not valid.
    *
@@ -47,13 +51,28 @@
         Duration.ofNanos((long) (lease.toNanos() * (1 - MAX_CLOCK_DRIFT))).minus(SAFETY_MARGIN);
   }
 
+  /**
+   * Starts anew with a session that was just registered in the store: only evidence requested from
+   * now on counts. So a controller that has no session at some moment will know every cancellation
+   * stored until then before it may act again.
+   */
+  void onSessionRegistered(MonotonicTime now) {
+    registeredAt = Optional.of(now);
+    evidenceAsOf.clear();
+  }
+
   /**
    * Records evidence; nothing else extends the lease.
    *
    * @param requestedAt when the request was sent whose response gave the evidence
+   * @return false, without recording it, if it was requested before the session was registered
    */
-  void confirm(Evidence evidence, MonotonicTime requestedAt) {
+  boolean confirm(Evidence evidence, MonotonicTime requestedAt) {
+    if (registeredAt.filter(registered -> !registered.isAfter(requestedAt)).isEmpty()) {
+      return false;
+    }
     evidenceAsOf.merge(evidence, requestedAt, (known, next) -> next.isAfter(known) ? next : known);
+    return true;
   }
 
   /** Discards the evidence; the lease is invalid until it is confirmed again. */
--- a/src/test/java/org/mulleinshift/membership/ControllerSessionTest.java
+++ b/src/test/java/org/mulleinshift/membership/ControllerSessionTest.java
@@ -1,6 +1,7 @@
 package org.mulleinshift.membership;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -19,8 +20,9 @@
 import org.mulleinshift.transport.MonotonicTime;
 
 /**
- * Guards against an owner that falls back to grants from before a newer read of them, because the
- * store served two reads in another order than they were sent.
+ * Guards against an owner that acts on something older than it may: on grants from before a newer
+ * read of them, because the store served two reads in another order than they were sent; or on what
+ * it read before its session was registered.
  */
 final class ControllerSessionTest {
   private static final int OK = 200;
@@ -31,6 +33,7 @@
 
   private final VirtualEventLoop loop = new VirtualEventLoop();
   private final List<Consumer<HttpResponse>> grantReads = new ArrayList<>();
+  private int cancellationChecks;
   private final ControllerSession session =
       new ControllerSession(
           loop,
@@ -43,7 +46,7 @@
           new NodeId("node-0"),
           Duration.ofSeconds(10),
           Duration.ofSeconds(2),
-          () -> {},
+          () -> cancellationChecks++,
           () -> {});
 
   /** Answers all calls but reads of the grants, whose responses the tests give. */
@@ -108,4 +111,19 @@
     grantReads.get(1).accept(grants(new Revision(45), "node-1", GRANT));
     assertTrue(session.isValidOwner(SHARD, NEXT_GRANT), "valid as of " + secondSent);
   }
+
+  @Test
+  void actsOnlyOnceItKnowsTheCancellationsAsOfItsSession() {
+    MonotonicTime beforeSession = loop.now();
+    loop.runFor(0.1);
+    session.start();
+    loop.runFor(0.1);
+    grantReads.get(0).accept(grants(new Revision(51), "node-0", NEXT_GRANT));
+    int checks = cancellationChecks;
+    session.onCancellationsKnown(beforeSession);
+    assertFalse(session.isValidOwner(SHARD, NEXT_GRANT));
+    assertEquals(checks + 1, cancellationChecks, "checked again at once");
+    session.onCancellationsKnown(loop.now());
+    assertTrue(session.isValidOwner(SHARD, NEXT_GRANT));
+  }
 }
--- a/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
+++ b/src/test/java/org/mulleinshift/scenario/ScenarioCatalog.java
@@ -89,7 +89,8 @@
             new Entry("drawn-further-meetings", RandomScenario::extendedOverlappingFaultLines),
             new Entry("drawn-progress-log", RandomScenario::progressLogLines),
             new Entry("drawn-cancelled-pairs", RandomScenario::cancelledPairLines),
-            new Entry("drawn-late-answers", RandomLateAnswers::lines))
+            new Entry("drawn-late-answers", RandomLateAnswers::lines),
+            new Entry("drawn-cancellations", RandomCancellations::lines))
         .map(family -> family.mapLines(CopiedCommands::drawn))
         .toList();
   }
--- a/src/test/java/org/mulleinshift/scenario/StoreCommands.java
+++ b/src/test/java/org/mulleinshift/scenario/StoreCommands.java
@@ -41,6 +41,9 @@
     commands.add(
         "late-news",
         line -> faults.delayChangeResponses(line.word(1), line.number(2), line.number(THIRD)));
+    commands.add(
+        "late-reads",
+        line -> faults.delayRangeReads(line.word(1), line.number(2), line.number(THIRD)));
     commands.add("late", line -> faults.slow(line.number(1), line.number(2)));
   }
 
--- a/src/test/java/org/mulleinshift/simulation/SimulatedStore.java
+++ b/src/test/java/org/mulleinshift/simulation/SimulatedStore.java
@@ -204,6 +204,9 @@
     try {
       if (request.path().equals("/commit")) {
         serveTransaction(controller, body(request), reply);
+      } else if (request.path().startsWith("/keys?")) {
+        Map<String, String> query = QueryParameters.of(request.path());
+        faults.deliverRange(query.get("starts"), range(query), reply);
       } else {
         reply.accept(answer(request));
       }
@@ -234,9 +237,6 @@
     if (path.startsWith("/keys/")) {
       return get(path.substring("/keys/".length()));
     }
-    if (path.startsWith("/keys?")) {
-      return range(QueryParameters.of(path));
-    }
     if (path.equals("/holds")) {
       double ttlSeconds = body(request).path("ttl_ms").asDouble() / MILLIS_PER_SECOND;
       return new HttpResponse(HttpStatus.OK, "{\"hold\":" + leases.grant(ttlSeconds) + "}");
--- a/src/test/java/org/mulleinshift/simulation/StoreFaults.java
+++ b/src/test/java/org/mulleinshift/simulation/StoreFaults.java
@@ -11,7 +11,7 @@
 public final class StoreFaults {
   private static final double MIN_DELAY_SECONDS = 2;
   private static final double DELAY_SPREAD_SECONDS = 10;
-  private static final double MIN_REPORT_DELAY_FACTOR = 0.5;
+  private static final double MIN_RESPONSE_DELAY_FACTOR = 0.5;
 
   /**
    * Selects a random share of the transactions of a kind, or of all kinds if {@code kind} is empty.
@@ -26,9 +26,20 @@
     }
   }
 
-  /** Delays the reports of changes of keys with the prefix. */
-  private record DelayedReports(String prefix, double seconds, double until) {
-    static final DelayedReports NONE = new DelayedReports("", 0, 0);
+  /** Delays responses about keys with the prefix. */
+  private record DelayedResponses(String prefix, double seconds, double until) {
+    static final DelayedResponses NONE = new DelayedResponses("", 0, 0);
+
+    void deliver(
+        Timeline timeline, String about, HttpResponse response, Consumer<HttpResponse> reply) {
+      if (timeline.seconds() < until && about.equals(prefix)) {
+        double factor =
+            MIN_RESPONSE_DELAY_FACTOR + (1 - MIN_RESPONSE_DELAY_FACTOR) * timeline.random();
+        timeline.after(seconds * factor, () -> reply.accept(response));
+      } else {
+        reply.accept(response);
+      }
+    }
   }
 
   private final Timeline timeline;
@@ -38,7 +49,8 @@
   private final Map<String, Double> readsOfChangesWithheldUntil = new HashMap<>();
   private Affected delayedTransactions = Affected.NONE;
   private Affected lostResponses = Affected.NONE;
-  private DelayedReports delayedReports = DelayedReports.NONE;
+  private DelayedResponses delayedChanges = DelayedResponses.NONE;
+  private DelayedResponses delayedReads = DelayedResponses.NONE;
   private double outageUntil;
   private double slowUntil;
   private double slowBySeconds;
@@ -98,7 +110,12 @@
    * the store made them, so that responses to later requests overtake them.
    */
   public void delayChangeResponses(String prefix, double bySeconds, double seconds) {
-    delayedReports = new DelayedReports(prefix, bySeconds, timeline.seconds() + seconds);
+    delayedChanges = new DelayedResponses(prefix, bySeconds, timeline.seconds() + seconds);
+  }
+
+  /** Responses to reads of all keys with the prefix arrive up to {@code bySeconds} later. */
+  public void delayRangeReads(String prefix, double bySeconds, double seconds) {
+    delayedReads = new DelayedResponses(prefix, bySeconds, timeline.seconds() + seconds);
   }
 
   boolean inOutage() {
@@ -139,12 +156,12 @@
 
   /** Delivers a response that reports changes of keys with the prefix. */
   void deliverChanges(String prefix, HttpResponse response, Consumer<HttpResponse> reply) {
-    if (timeline.seconds() < delayedReports.until() && prefix.equals(delayedReports.prefix())) {
-      double factor = MIN_REPORT_DELAY_FACTOR + (1 - MIN_REPORT_DELAY_FACTOR) * timeline.random();
-      timeline.after(delayedReports.seconds() * factor, () -> reply.accept(response));
-    } else {
-      reply.accept(response);
-    }
+    delayedChanges.deliver(timeline, prefix, response, reply);
+  }
+
+  /** Delivers a response to a read of all keys with the prefix. */
+  void deliverRange(String prefix, HttpResponse response, Consumer<HttpResponse> reply) {
+    delayedReads.deliver(timeline, prefix, response, reply);
   }
 
   Consumer<HttpResponse> slowed(Consumer<HttpResponse> reply) {
