--- a/src/main/java/org/mulleinshift/controller/CancellationAnnouncer.java
+++ b/src/main/java/org/mulleinshift/controller/CancellationAnnouncer.java
@@ -40,7 +40,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(CancellationAnnouncer.class);
 
   /** Allows for a connection to this controller that is opened again after its restart. */
-  private static final Duration ACK_TIMEOUT = Duration.ofMillis(1000);
+  private static final Duration ACK_TIMEOUT = Duration.ofSeconds(1);
 
   /** Time until an announcement is repeated, as messages and acknowledgements may be lost. */
   private static final Duration RETRY_INTERVAL = Duration.ofMillis(150);
